Relay requests on the users' platform, from end to end

The product grows a relay: tables of hosts and prefixes, a roster of upstreams, a planner that works from the published figures of engines, the life cycle of a relayed request as typestate, and typed ports for the store and the messages. platform/ is the adapter: names, codec, entries and one client of the store.

--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -96,6 +96,8 @@
     },
     /// The request cannot finish before its deadline.
     WouldMissDeadline,
+    /// No engine has the memory for the prompt now.
+    NoMemory,
     /// The deadline passed while the request waited for a grant.
     DeadlineWhileWaiting,
     /// The bodies that already wait fill the instance's byte budget.
@@ -149,6 +151,8 @@
     Between(u64, u64),
     /// The entry's kind has to match that of its pool.
     KindMatchesPool,
+    /// A path prefix has to begin and end with a slash.
+    Prefix,
 }
 
 impl fmt::Display for Rule {
@@ -158,6 +162,7 @@
             Rule::FloorsAtMost(n) => write!(f, "floors may add up to {n} percent at most"),
             Rule::Between(low, high) => write!(f, "must lie between {low} and {high}"),
             Rule::KindMatchesPool => f.write_str("must be of the kind of its pool"),
+            Rule::Prefix => f.write_str("must begin and end with a slash"),
         }
     }
 }
@@ -178,6 +183,7 @@
             Error::InvalidDeclaration { .. } => "invalid_declaration",
             Error::LostRace { .. } => "lost_race",
             Error::WouldMissDeadline => "would_miss_deadline",
+            Error::NoMemory => "no_memory",
             Error::DeadlineWhileWaiting => "deadline_while_waiting",
             Error::BodyBudgetExhausted => "body_budget_exhausted",
             Error::QueueFull => "queue_full",
@@ -217,6 +223,7 @@
             | Error::RunOnceKeyReused
             | Error::InvalidDeclaration { .. } => Category::Input,
             Error::WouldMissDeadline
+            | Error::NoMemory
             | Error::DeadlineWhileWaiting
             | Error::BodyBudgetExhausted
             | Error::QueueFull
@@ -275,6 +282,7 @@
                     "the tables have changed since; the current revision is {current}"
                 )
             }
+            Error::NoMemory => f.write_str("no engine has memory for the prompt now"),
             Error::WouldMissDeadline => {
                 f.write_str("the request could not finish before its deadline")
             }
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -32,23 +32,32 @@
 mod availability_zone;
 mod baseline;
 mod budget;
+mod catalog;
 mod directory;
 mod drain;
+mod engine;
 mod error;
+mod exchange;
 mod floors;
 mod free_index;
 mod grant;
+mod ingress;
 mod instance;
 mod keeper;
 mod lock;
 mod member;
 mod name;
 mod order;
+mod plan;
+mod planner;
 mod pool;
 mod prefix;
 mod rank;
 mod request;
+mod retry_window;
 mod revision;
+mod roll;
+mod roster;
 mod route;
 mod run_once;
 mod table;
@@ -60,10 +69,18 @@
 pub use availability_zone::{AvailabilityZone, Reach};
 pub use baseline::{Baseline, Policy};
 pub use budget::{BodyBudget, RetryBudget};
+pub use catalog::Catalog;
 pub use directory::{Directory, Entry as DirectoryEntry};
+pub use engine::{Figures, Timing};
 pub use error::{Category, Error, Outcome, Result, Rule};
+pub use exchange::{Exchange, Final, Placed as PlacedExchange, Routed, Sent, Subject};
 pub use floors::Floors;
 pub use grant::{Ask, Decision, Grant, Held, Place, RequestId};
+pub use ingress::{
+    Admission, Declaration as IngressDeclaration, Denial, Form, Ingress, Limits, Objective,
+    PoolDeclaration as IngressPoolDeclaration, Repeat, Route as IngressRoute,
+    RouteDeclaration as IngressRouteDeclaration, Share, Workspace, WorkspaceDeclaration,
+};
 pub use instance::{Gone, Instance, Joining, LEAVING_GRACE, Leaving, Live, Stage};
 pub use keeper::{Keeper, Usage};
 pub use lock::{Guard, Level, Ordered};
@@ -76,13 +93,18 @@
     Fencing, Held as HeldLease, KEEPER_SETTLE, LEASE_LIFETIME, LONGEST_ORDER, LONGEST_PAUSE, Lease,
     Tenure, Waiting as WaitingLease,
 };
+pub use plan::{Demand, Helper, Plan, Settlement, Verdict};
+pub use planner::Planner;
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
 pub use rank::{PerRank, Rank};
 pub use request::{
     Admitted, ChunkPosition, Delivery, Ended, Identity, Placed, Received, Request, Streaming,
 };
+pub use retry_window::{Bound as RetryBound, RetryWindow};
 pub use revision::Revision;
+pub use roll::Roll;
+pub use roster::{Entry as RosterEntry, Removal, Roster, Standing};
 pub use route::{Declaration as RouteDeclaration, Kind as RouteKind, Route};
 pub use run_once::{Answer, Applied, CallKey, Claim, MAX_ANSWER, RETENTION, SHARDS, Shard, Update};
 pub use table::{Change, Declarations, Tables};
--- /dev/null
+++ b/limpetkeel/src/planner/health.rs
@@ -0,0 +1,78 @@
+//! Which upstreams answer, and from which availability zones they are reached.
+
+use std::collections;
+
+use crate::{name, plan, planner::upstream, unit};
+
+/// An upstream that could not be reached is passed over for this long.
+const UNREACHABLE: unit::Millis = unit::Millis(2_000);
+
+/// A zone in which this many upstreams could not be reached counts as cut off.
+const CUT_AFTER: usize = 2;
+
+/// A failure rate halves in this long, so that a recovered upstream is tried again.
+const HALF_LIFE_MS: f64 = 2_500.0;
+
+/// The weight of one answer in the failure rate.
+const WEIGHT: f64 = 0.25;
+
+/// One report: who saw which upstream.
+#[derive(Clone, Copy)]
+pub(super) struct Seen<'a> {
+    pub(super) from: &'a name::AvailabilityZoneName,
+    pub(super) upstream: &'a name::UpstreamName,
+    pub(super) zone: &'a name::AvailabilityZoneName,
+}
+
+type Pair = (name::AvailabilityZoneName, name::AvailabilityZoneName);
+
+#[derive(Debug, Default)]
+pub(super) struct Reachability {
+    rates: collections::BTreeMap<name::UpstreamName, (f64, unit::Timestamp)>,
+    /// From one zone to another: the upstreams that were not reached, and until when that counts.
+    missed: collections::BTreeMap<Pair, collections::BTreeMap<name::UpstreamName, unit::Timestamp>>,
+}
+
+impl Reachability {
+    pub(super) fn note(&mut self, now: unit::Timestamp, seen: Seen<'_>, verdict: plan::Verdict) {
+        let pair = (seen.from.clone(), seen.zone.clone());
+        match verdict {
+            plan::Verdict::Unjudged => return,
+            plan::Verdict::Unreachable => {
+                let missed = self.missed.entry(pair).or_default();
+                missed.insert(seen.upstream.clone(), now.after(UNREACHABLE));
+            }
+            _ => {
+                self.missed.remove(&pair);
+            }
+        }
+        let failed = matches!(verdict, plan::Verdict::Failed | plan::Verdict::Full);
+        let rate = self.failure_rate(now, seen.upstream);
+        let rate = rate + (f64::from(u8::from(failed)) - rate) * WEIGHT;
+        self.rates.insert(seen.upstream.clone(), (rate, now));
+    }
+
+    /// Returns the decayed part of an upstream's answers that failed.
+    pub(super) fn failure_rate(&self, now: unit::Timestamp, name: &name::UpstreamName) -> f64 {
+        let Some((rate, at)) = self.rates.get(name) else {
+            return 0.0;
+        };
+        rate * (-(now.since(*at).0 as f64) / HALF_LIFE_MS * std::f64::consts::LN_2).exp()
+    }
+
+    /// Tells whether requests from a zone are expected to reach an upstream.
+    pub(super) fn reaches(
+        &self,
+        now: unit::Timestamp,
+        from: &name::AvailabilityZoneName,
+        upstream: &upstream::Upstream,
+    ) -> bool {
+        let pair = (from.clone(), upstream.availability_zone().clone());
+        let Some(missed) = self.missed.get(&pair) else {
+            return true;
+        };
+        let current = missed.iter().filter(|(_, until)| **until > now);
+        let cut = current.clone().count() >= CUT_AFTER && pair.0 != pair.1;
+        !cut && !current.into_iter().any(|(name, _)| name == upstream.name())
+    }
+}
--- /dev/null
+++ b/limpetkeel/src/planner/lane.rs
@@ -0,0 +1,106 @@
+//! The engines that read long prompts, sized by demand.
+
+use std::collections;
+
+use xxhash_rust::xxh3;
+
+use crate::{engine, name, planner::upstream, unit};
+
+/// How fast the measured demand forgets, in milliseconds: a burst shows within a second.
+const DEMAND_MEMORY_MS: f64 = 2_000.0;
+
+/// Engines of the lane for each engine's worth of demand, so that the lane is not saturated.
+const HEADROOM: f64 = 1.2;
+
+/// Reading that waits in the lane and calls for one more engine, in milliseconds.
+const BACKLOG_MS: f64 = 500.0;
+
+/// The lane gives one engine back at most this often.
+const SHRINK_INTERVAL: unit::Millis = unit::Millis(400);
+
+/// Streams that an engine outside of the lane should have at most, as a part of its slots.
+const STREAM_SHARE: f64 = 0.75;
+
+/// The part of the engines that always stays outside of the lane.
+const OUTSIDE_SHARE: f64 = 0.3;
+
+/// The part of the engines that is always in the lane, so that a burst finds free readers.
+const LEAST_SHARE: f64 = 0.15;
+
+#[derive(Debug, Default)]
+pub(super) struct Lane {
+    order: Vec<name::UpstreamName>,
+    size: usize,
+    demand: f64,
+    noted: unit::Timestamp,
+    shrunk: unit::Timestamp,
+}
+
+impl Lane {
+    /// Puts the upstreams in the order in which they join the lane: availability zones by turns,
+    /// so that each zone has readers and writers when it is cut off.
+    pub(super) fn arrange<'a>(&mut self, upstreams: impl Iterator<Item = &'a upstream::Upstream>) {
+        let mut by_zone: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
+        for upstream in upstreams {
+            let hash = xxh3::xxh3_64(upstream.name().as_str().as_bytes());
+            let zone = by_zone.entry(upstream.availability_zone()).or_default();
+            zone.push((hash, upstream.name().clone()));
+        }
+        let mut ranked: Vec<_> = Vec::new();
+        for (zone, names) in by_zone.values_mut().enumerate() {
+            names.sort();
+            let turns = names.drain(..).enumerate();
+            ranked.extend(turns.map(|(turn, (_, name))| (turn, zone, name)));
+        }
+        ranked.sort();
+        self.order = ranked.into_iter().map(|(_, _, name)| name).collect();
+    }
+
+    /// Tells whether an upstream is in the lane.
+    pub(super) fn holds(&self, name: &name::UpstreamName) -> bool {
+        self.order.iter().take(self.size).any(|held| held == name)
+    }
+
+    /// Counts the reading of a long prompt.
+    pub(super) fn note(&mut self, now: unit::Timestamp, read_ms: f64) {
+        self.forget(now);
+        self.demand += read_ms / DEMAND_MEMORY_MS;
+    }
+
+    fn forget(&mut self, now: unit::Timestamp) {
+        let elapsed = now.since(self.noted).0 as f64;
+        self.demand *= (-elapsed / DEMAND_MEMORY_MS).exp();
+        self.noted = now;
+    }
+
+    /// Fits the lane to the demand: at once when it grows, step by step when it shrinks.
+    pub(super) fn resize(
+        &mut self,
+        now: unit::Timestamp,
+        timing: &engine::Timing,
+        upstreams: &collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
+    ) {
+        self.forget(now);
+        let all = self.order.len();
+        let backlog: f64 = self
+            .order
+            .iter()
+            .take(self.size)
+            .filter_map(|name| upstreams.get(name))
+            .map(|upstream| upstream.backlog(now))
+            .sum();
+        let streams: usize = upstreams.values().map(upstream::Upstream::streams).sum();
+        let writers = (streams as f64 / (timing.slots() as f64 * STREAM_SHARE)).ceil() as usize;
+        let outside = writers.max((all as f64 * OUTSIDE_SHARE).ceil() as usize);
+        let most = all.saturating_sub(outside);
+        let least = ((all as f64 * LEAST_SHARE).ceil() as usize).min(most);
+        let wanted = (self.demand * HEADROOM + backlog / BACKLOG_MS).ceil() as usize;
+        let target = wanted.clamp(least, most.max(least));
+        if target >= self.size {
+            self.size = target;
+        } else if now.since(self.shrunk) >= SHRINK_INTERVAL {
+            self.size -= 1;
+            self.shrunk = now;
+        }
+    }
+}
--- /dev/null
+++ b/limpetkeel/src/planner/upstream.rs
@@ -0,0 +1,113 @@
+//! The ledger of one upstream: reading ahead of it, streams and memory.
+
+use std::collections;
+
+use crate::{engine, grant, name, roster, unit, work};
+
+/// What one request waits for beyond a full upstream, in milliseconds: it queues there.
+const FULL_MS: f64 = 400.0;
+
+#[derive(Debug)]
+pub(super) struct Upstream {
+    entry: roster::Entry,
+    /// When the planned reading is done, in milliseconds of the planner's clock.
+    reads_until: f64,
+    writes: collections::BTreeMap<grant::RequestId, unit::Tokens>,
+    reserved: collections::BTreeMap<grant::RequestId, unit::Tokens>,
+    memory: unit::Tokens,
+}
+
+impl Upstream {
+    pub(super) fn new(entry: &roster::Entry) -> Upstream {
+        Upstream {
+            entry: entry.clone(),
+            reads_until: 0.0,
+            writes: collections::BTreeMap::new(),
+            reserved: collections::BTreeMap::new(),
+            memory: unit::Tokens::ZERO,
+        }
+    }
+
+    pub(super) fn name(&self) -> &name::UpstreamName {
+        &self.entry.name
+    }
+
+    pub(super) fn availability_zone(&self) -> &name::AvailabilityZoneName {
+        &self.entry.availability_zone
+    }
+
+    pub(super) fn started(&self) -> u64 {
+        self.entry.started
+    }
+
+    pub(super) fn place(&self) -> grant::Place {
+        grant::Place {
+            upstream: self.entry.name.clone(),
+            address: self.entry.address,
+        }
+    }
+
+    /// Returns the requests that are written here.
+    pub(super) fn streams(&self) -> usize {
+        self.writes.len()
+    }
+
+    /// Returns the memory that is left of `room`.
+    pub(super) fn free(&self, room: unit::Tokens) -> unit::Tokens {
+        room.saturating_sub(self.memory)
+    }
+
+    /// Returns the planned reading that is not done yet, in milliseconds.
+    pub(super) fn backlog(&self, now: unit::Timestamp) -> f64 {
+        (self.reads_until - now.0 as f64).max(0.0)
+    }
+
+    /// Estimates the time to the first token, or to the answer of a plain service, in
+    /// milliseconds.
+    pub(super) fn estimate(
+        &self,
+        now: unit::Timestamp,
+        timing: Option<&engine::Timing>,
+        work: work::Work,
+    ) -> f64 {
+        let slots = self.entry.slots.max(1) as usize;
+        let waiting = (self.streams() + 1).saturating_sub(slots) as f64 * FULL_MS;
+        let Some(timing) = timing else {
+            return self.streams() as f64 / slots as f64 * FULL_MS + waiting;
+        };
+        let pass = timing.pass_ms(self.streams(), self.memory);
+        // On average half of the present pass is left; the prompt is read in the next one.
+        let present = if self.writes.is_empty() {
+            0.0
+        } else {
+            pass / 2.0
+        };
+        let lacking = work.memory().saturating_sub(self.free(timing.memory()));
+        let memory_ms = if lacking.0 > 0 { FULL_MS } else { 0.0 };
+        present + self.backlog(now) + pass + timing.read_ms(work.prompt) + waiting + memory_ms
+    }
+
+    /// Adds reading.
+    pub(super) fn read(&mut self, now: unit::Timestamp, ms: f64) {
+        self.reads_until = self.reads_until.max(now.0 as f64) + ms;
+    }
+
+    /// Adds a stream and the memory that it takes when it is complete.
+    pub(super) fn write(&mut self, id: grant::RequestId, memory: unit::Tokens) {
+        self.memory += memory;
+        self.writes.insert(id, memory);
+    }
+
+    /// Sets memory aside for a part of a prompt.
+    pub(super) fn reserve(&mut self, id: grant::RequestId, memory: unit::Tokens) {
+        self.memory += memory;
+        self.reserved.insert(id, memory);
+    }
+
+    /// Gives back what a request takes.
+    pub(super) fn release(&mut self, id: grant::RequestId) {
+        let freed = self.writes.remove(&id).into_iter();
+        let freed: unit::Tokens = freed.chain(self.reserved.remove(&id)).sum();
+        self.memory = self.memory.saturating_sub(freed);
+    }
+}
--- /dev/null
+++ b/limpetkeel/src/roll.rs
@@ -0,0 +1,117 @@
+//! The instances that the store lists, and which of them answer.
+
+use std::collections;
+
+use xxhash_rust::xxh3;
+
+use crate::{member, name, unit};
+
+/// An instance that did not answer is passed over for this long, then tried again: long enough
+/// that a frozen planner costs few requests, short enough that a revived one is used soon.
+const SUSPICION: unit::Millis = unit::Millis(1_500);
+
+/// The instances of the system as one of them sees them.
+#[derive(Debug)]
+pub struct Roll {
+    own: member::Contact,
+    listed: collections::BTreeMap<name::InstanceName, member::Contact>,
+    suspected: collections::BTreeMap<name::InstanceName, unit::Timestamp>,
+}
+
+impl Roll {
+    /// Creates a roll with the own instance only.
+    pub fn new(own: member::Contact) -> Roll {
+        Roll {
+            own,
+            listed: collections::BTreeMap::new(),
+            suspected: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Returns the own contact.
+    pub fn own(&self) -> &member::Contact {
+        &self.own
+    }
+
+    /// Returns the number of instances, the own one included.
+    pub fn len(&self) -> usize {
+        let own_listed = self.listed.contains_key(&self.own.name);
+        self.listed.len() + usize::from(!own_listed)
+    }
+
+    /// Tells whether no other instance is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() <= 1
+    }
+
+    /// Returns the list.
+    pub fn listed(&self) -> Vec<member::Contact> {
+        self.listed.values().cloned().collect()
+    }
+
+    /// Lists an instance.
+    pub fn list(&mut self, contact: member::Contact) {
+        self.listed.insert(contact.name.clone(), contact);
+    }
+
+    /// Takes an instance off the list.
+    pub fn unlist(&mut self, name: &name::InstanceName) {
+        self.listed.remove(name);
+        self.suspected.remove(name);
+    }
+
+    /// Replaces the list.
+    pub fn replace(&mut self, contacts: Vec<member::Contact>) {
+        self.listed = contacts
+            .into_iter()
+            .map(|contact| (contact.name.clone(), contact))
+            .collect();
+    }
+
+    /// Passes an instance over for a while, since it did not answer.
+    pub fn suspect(&mut self, now: unit::Timestamp, name: &name::InstanceName) {
+        self.suspected.insert(name.clone(), now.after(SUSPICION));
+    }
+
+    /// Notes that an instance answered.
+    pub fn trust(&mut self, name: &name::InstanceName) {
+        self.suspected.remove(name);
+    }
+
+    fn trusted(&self, now: unit::Timestamp) -> impl Iterator<Item = &member::Contact> {
+        self.listed.values().filter(move |contact| {
+            let until = self.suspected.get(&contact.name);
+            until.is_none_or(|until| *until <= now)
+        })
+    }
+
+    /// Returns the instances to ask for plans of a key, in order: the one that the key hashes to,
+    /// then the one of the own availability zone.
+    ///
+    /// Rendezvous hashing: when an instance goes, only its own keys move. The second one holds
+    /// when the own zone is cut off.
+    pub fn planners(&self, now: unit::Timestamp, key: &str) -> Vec<member::Contact> {
+        let first = self.trusted(now).max_by_key(|c| weight(c, key));
+        let second = self
+            .trusted(now)
+            .filter(|c| c.availability_zone == self.own.availability_zone)
+            .filter(|c| first.is_none_or(|first| first.name != c.name))
+            .max_by_key(|c| weight(c, key));
+        first.into_iter().chain(second).cloned().collect()
+    }
+
+    /// Returns another instance that answers; `draw` is a random number.
+    pub fn any(&self, now: unit::Timestamp, draw: u64) -> Option<member::Contact> {
+        let others: Vec<_> = self
+            .trusted(now)
+            .filter(|contact| contact.name != self.own.name)
+            .collect();
+        let index = draw.checked_rem(others.len() as u64)?;
+        others.get(index as usize).map(|contact| (*contact).clone())
+    }
+}
+
+fn weight(contact: &member::Contact, key: &str) -> u64 {
+    let name = xxh3::xxh3_64(contact.name.as_str().as_bytes());
+    xxh3::xxh3_64_with_seed(key.as_bytes(), name)
+}
--- a/limpetkeeld/src/answers.rs
+++ b/limpetkeeld/src/answers.rs
@@ -64,6 +64,9 @@
                 message::Response::Tables(tables::snapshot(&self.shared, than))
             }
             message::Request::RunOnce(updates) => self.run_once(updates).await,
+            message::Request::Plan(_)
+            | message::Request::Settle(_)
+            | message::Request::Catalog(_) => message::Response::Unsupported,
         }
     }
 }
--- /dev/null
+++ b/limpetkeeld/src/define.rs
@@ -0,0 +1,39 @@
+//! Registers metrics.
+
+/// Registers metrics; a definition that is refused is a programming error.
+pub(crate) struct Definer<'a>(pub(crate) &'a prometheus::Registry);
+
+impl Definer<'_> {
+    pub(crate) fn add<C: prometheus::core::Collector + Clone + 'static>(
+        &self,
+        collector: prometheus::Result<C>,
+    ) -> prometheus::Result<C> {
+        let collector = collector?;
+        self.0.register(Box::new(collector.clone()))?;
+        Ok(collector)
+    }
+
+    pub(crate) fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> prometheus::Result<prometheus::IntCounterVec> {
+        self.add(prometheus::IntCounterVec::new(
+            prometheus::Opts::new(name, help),
+            labels,
+        ))
+    }
+
+    pub(crate) fn counter(
+        &self,
+        name: &str,
+        help: &str,
+    ) -> prometheus::Result<prometheus::IntCounter> {
+        self.add(prometheus::IntCounter::new(name, help))
+    }
+
+    pub(crate) fn gauge(&self, name: &str, help: &str) -> prometheus::Result<prometheus::IntGauge> {
+        self.add(prometheus::IntGauge::new(name, help))
+    }
+}
--- a/limpetkeeld/src/lib.rs
+++ b/limpetkeeld/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod answers;
 pub mod clock;
 pub mod daemon;
+mod define;
 pub mod engine;
 pub mod front;
 pub mod gossip;
@@ -26,6 +27,7 @@
 pub mod peer;
 pub mod placing;
 pub mod platform;
+pub mod relay;
 pub mod run_once;
 pub mod service;
 pub mod settings;
--- a/limpetkeeld/src/log.rs
+++ b/limpetkeeld/src/log.rs
@@ -1,18 +1,41 @@
 //! Logs: one line of key=value pairs for each event.
 
+use tracing_appender::non_blocking;
 use tracing_subscriber::{
     EnvFilter, Layer as _, layer::SubscriberExt as _, util::SubscriberInitExt as _,
 };
 
+/// Lines that wait for a slow reader; those beyond are left out and counted.
+const MAX_LINES: usize = 4_096;
+
+fn filter(text: &str) -> EnvFilter {
+    EnvFilter::try_new(text).unwrap_or_else(|_| EnvFilter::new("info"))
+}
+
 /// Starts logging to standard error with a filter such as `info` or `limpetkeeld=debug`.
 ///
 /// A filter that does not parse counts as `info`. A second call has no effect.
-pub fn start(filter: &str) {
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+pub fn start(text: &str) {
     let lines = tracing_logfmt::builder()
         .layer()
         .with_writer(std::io::stderr);
     let _ = tracing_subscriber::registry()
-        .with(lines.with_filter(filter))
+        .with(lines.with_filter(filter(text)))
+        .try_init();
+}
+
+/// Starts logging to standard output without ever waiting for it: a thread writes the lines, and
+/// lines that find its queue full are left out.
+///
+/// A second call has no effect. The guard writes what waits when it is dropped.
+pub fn start_bounded(text: &str) -> non_blocking::WorkerGuard {
+    let (writer, guard) = non_blocking::NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(MAX_LINES)
+        .finish(std::io::stdout());
+    let lines = tracing_logfmt::builder().layer().with_writer(writer);
+    let _ = tracing_subscriber::registry()
+        .with(lines.with_filter(filter(text)))
         .try_init();
+    guard
 }
--- a/limpetkeeld/src/metrics.rs
+++ b/limpetkeeld/src/metrics.rs
@@ -2,6 +2,10 @@
 
 use prometheus::Encoder as _;
 
+use crate::define;
+
+pub mod relay;
+
 /// Buckets of the time to the first token, in seconds; one ends at the target.
 const FIRST_TOKEN_BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.3, 2.5, 5.0, 15.0, 60.0,
@@ -50,40 +54,8 @@
     pub live_members: prometheus::IntGauge,
     /// Pools that this instance keeps.
     pub kept_pools: prometheus::IntGauge,
-}
-
-/// Registers metrics; a definition that is refused is a programming error.
-struct Definer<'a>(&'a prometheus::Registry);
-
-impl Definer<'_> {
-    fn add<C: prometheus::core::Collector + Clone + 'static>(
-        &self,
-        collector: prometheus::Result<C>,
-    ) -> prometheus::Result<C> {
-        let collector = collector?;
-        self.0.register(Box::new(collector.clone()))?;
-        Ok(collector)
-    }
-
-    fn counters(
-        &self,
-        name: &str,
-        help: &str,
-        labels: &[&str],
-    ) -> prometheus::Result<prometheus::IntCounterVec> {
-        self.add(prometheus::IntCounterVec::new(
-            prometheus::Opts::new(name, help),
-            labels,
-        ))
-    }
-
-    fn counter(&self, name: &str, help: &str) -> prometheus::Result<prometheus::IntCounter> {
-        self.add(prometheus::IntCounter::new(name, help))
-    }
-
-    fn gauge(&self, name: &str, help: &str) -> prometheus::Result<prometheus::IntGauge> {
-        self.add(prometheus::IntGauge::new(name, help))
-    }
+    /// What the relay counts.
+    pub relay: relay::Metrics,
 }
 
 impl Metrics {
@@ -94,7 +66,7 @@
     /// Fails if two of them have the same name.
     pub fn new() -> prometheus::Result<Metrics> {
         let registry = prometheus::Registry::new();
-        let define = Definer(&registry);
+        let define = define::Definer(&registry);
         let first_token = prometheus::HistogramOpts::new(
             "limpetkeel_first_token_seconds",
             "Seconds from arrival to the first token.",
@@ -174,6 +146,7 @@
                 "limpetkeel_live_members",
                 "Live members of the availability zone.",
             )?,
+            relay: relay::Metrics::new(&define)?,
             kept_pools: define.gauge("limpetkeel_kept_pools", "Pools that this instance keeps.")?,
             registry,
         })
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -1,8 +1,8 @@
 //! The messages between peers.
 
 use limpetkeel::{
-    Applied, Ask, Contact, Declarations, Digest, DirectoryEntry, Grant, Held, PoolName, RequestId,
-    Revision, Update, UpstreamName, Usage,
+    Applied, Ask, Catalog as RelayCatalog, Contact, Declarations, Demand, Digest, DirectoryEntry,
+    Grant, Held, Plan, PoolName, RequestId, Revision, Settlement, Update, UpstreamName, Usage,
 };
 
 /// A message that asks for an answer.
@@ -26,6 +26,12 @@
     Tables(Revision),
     /// Applies updates to a shard of run-once records.
     RunOnce(Vec<Update>),
+    /// Asks the planner for a plan.
+    Plan(Demand),
+    /// Ends a plan.
+    Settle(Settlement),
+    /// Asks for the catalog if it is newer.
+    Catalog(Revision),
 }
 
 impl Request {
@@ -41,6 +47,9 @@
             Request::News(_) => "news",
             Request::Tables(_) => "tables",
             Request::RunOnce(_) => "run_once",
+            Request::Plan(_) => "plan",
+            Request::Settle(_) => "settle",
+            Request::Catalog(_) => "catalog",
         }
     }
 }
@@ -60,6 +69,12 @@
     Tables(Option<Snapshot>),
     /// What became of each update.
     Applied(Vec<Applied>),
+    /// The planner's decision.
+    Planned(limpetkeel::Result<Plan>),
+    /// The catalog, if it is newer.
+    Catalog(Option<RelayCatalog>),
+    /// The peer does not serve messages of this kind.
+    Unsupported,
 }
 
 /// The end of a grant.
--- /dev/null
+++ b/limpetkeeld/src/relay.rs
@@ -0,0 +1,29 @@
+//! Relaying: requests of any service, passed on byte for byte.
+//!
+//! A request enters at [`front`], which joins it to its route, and follows [`drive`]: [`planning`]
+//! gets a plan from the pool's planner, [`reserve`] sets memory aside for groups, and [`attempt`]
+//! makes one attempt over one connection of [`upstream`], whose events [`events`] divides.
+//! [`follow`] keeps the tables current with the store, or with a peer while the store does not
+//! answer, and [`register`] keeps the own instance listed. [`leave`] ends the instance.
+//!
+//! All wire formats are behind the traits of [`port`].
+
+pub mod answers;
+pub mod attempt;
+pub mod body;
+pub mod daemon;
+pub mod drive;
+pub mod events;
+pub mod follow;
+pub mod front;
+pub mod jobs;
+pub mod leave;
+pub mod planning;
+pub mod port;
+pub mod register;
+pub mod reserve;
+pub mod settings;
+pub mod shared;
+pub mod task;
+pub mod upstream;
+pub mod worker;
--- /dev/null
+++ b/limpetkeeld/src/relay/answers.rs
@@ -0,0 +1,44 @@
+//! Answers to the messages of peers.
+
+use std::sync;
+
+use crate::{
+    peer::{message, server},
+    relay::{follow, jobs, shared},
+};
+
+/// Answers peers from the shared tables.
+pub struct Answers {
+    shared: sync::Arc<shared::Shared>,
+}
+
+impl Answers {
+    /// Creates the answerer of an instance.
+    pub fn new(shared: &sync::Arc<shared::Shared>) -> Answers {
+        Answers {
+            shared: shared.clone(),
+        }
+    }
+}
+
+impl server::Answer for Answers {
+    async fn answer(&self, req: message::Request) -> message::Response {
+        match req {
+            message::Request::Plan(demand) => {
+                if self.shared.membership.lock().is_leaving() {
+                    let leaving = limpetkeel::Error::KeeperUnreachable;
+                    return message::Response::Planned(Err(leaving));
+                }
+                message::Response::Planned(self.shared.jobs.plan(demand).await)
+            }
+            message::Request::Settle(settlement) => {
+                self.shared.jobs.submit(jobs::Job::Settle(settlement));
+                message::Response::Done
+            }
+            message::Request::Catalog(than) => {
+                message::Response::Catalog(follow::catalog(&self.shared, than))
+            }
+            _ => message::Response::Unsupported,
+        }
+    }
+}
--- /dev/null
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -0,0 +1,144 @@
+//! Starts a relaying instance and runs it until it has left.
+
+use std::{convert, fmt, io, net, sync};
+
+use bytes::Bytes;
+use hyper::{body::Incoming, server::conn::http1, service};
+use hyper_util::rt;
+use limpetkeel::Stage;
+
+use crate::{
+    listener, metrics, peer,
+    relay::{answers, body, follow, front, jobs, leave, port, register, settings, shared, worker},
+};
+
+/// Why an instance could not start.
+#[derive(Debug)]
+pub enum Error {
+    /// A metric is defined twice.
+    Metrics(prometheus::Error),
+    /// An address cannot be bound.
+    Listen(net::SocketAddr, io::Error),
+    /// Signals cannot be received.
+    Signals(io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Metrics(e) => write!(f, "metrics: {e}"),
+            Error::Listen(address, e) => write!(f, "listen on {address}: {e}"),
+            Error::Signals(e) => write!(f, "signals: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Runs an instance until it has left.
+///
+/// # Errors
+///
+/// Fails if the instance cannot start.
+pub async fn run(
+    settings: settings::Settings,
+    codec: Box<dyn port::Codec>,
+    store: Box<dyn port::Store>,
+) -> Result<(), Error> {
+    let metrics = sync::Arc::new(metrics::Metrics::new().map_err(Error::Metrics)?);
+    let (queue, rx) = jobs::Queue::new();
+    let shared = shared::Shared::new(settings, metrics, codec, store, queue);
+    let shared = sync::Arc::new(shared);
+    worker::start(&shared, rx);
+    let ready = listener::listen(shared.settings.ready_listen)
+        .map_err(|e| Error::Listen(shared.settings.ready_listen, e))?;
+    tokio::spawn(serve_status(shared.clone(), ready, Page::Ready));
+    let status = listener::listen(shared.settings.status_listen)
+        .map_err(|e| Error::Listen(shared.settings.status_listen, e))?;
+    tokio::spawn(serve_status(shared.clone(), status, Page::Metrics));
+    tokio::spawn(listen_to_peers(shared.clone()));
+    tokio::spawn(follow::run(shared.clone()));
+    tokio::spawn(follow::run_peers(shared.clone()));
+    tokio::spawn(follow::run_sweep(shared.clone()));
+    let registration = tokio::spawn(register::run(shared.clone()));
+    tracing::info!(
+        event = "started",
+        version = env!("CARGO_PKG_VERSION"),
+        instance = %shared.settings.instance,
+        availability_zone = %shared.settings.availability_zone,
+        http = %shared.settings.http_listen,
+        peers = %shared.settings.peer_listen,
+    );
+    let fronts = tokio::spawn(front::listen(shared.clone()));
+    let left = tokio::select! {
+        left = leave::run(&shared) => left.map_err(Error::Signals),
+        Ok(Err(e)) = fronts => Err(Error::Listen(shared.settings.http_listen, e)),
+    };
+    registration.abort();
+    left
+}
+
+async fn listen_to_peers(shared: sync::Arc<shared::Shared>) {
+    let answers = sync::Arc::new(answers::Answers::new(&shared));
+    let (address, key) = (shared.settings.peer_listen, &shared.settings.peer_key);
+    let listening = peer::server::listen(address, key, shared.metrics.clone(), answers);
+    if let Err(e) = listening.await {
+        tracing::error!(event = "peer_listen_failed", address = %address, error = %e);
+        std::process::exit(1);
+    }
+}
+
+/// What an address for operators answers.
+#[derive(Clone, Copy)]
+enum Page {
+    /// Whether balancers should send connections.
+    Ready,
+    /// The metrics.
+    Metrics,
+}
+
+async fn serve_status(
+    shared: sync::Arc<shared::Shared>,
+    listener: tokio::net::TcpListener,
+    page: Page,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                tracing::warn!(event = "accept_failed", error = %e);
+                continue;
+            }
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let handler = service::service_fn(move |_: http::Request<Incoming>| {
+                let res = status(&shared, page);
+                async move { Ok::<_, convert::Infallible>(res) }
+            });
+            let _ = http1::Builder::new()
+                .serve_connection(rt::TokioIo::new(stream), handler)
+                .await;
+        });
+    }
+}
+
+fn status(shared: &shared::Shared, page: Page) -> http::Response<body::Body> {
+    let (code, text) = match page {
+        Page::Metrics => (http::StatusCode::OK, shared.metrics.render()),
+        Page::Ready => {
+            let membership = shared.membership.lock();
+            if membership.stage().is_some_and(Stage::is_ready) {
+                (http::StatusCode::OK, "ready\n".to_owned())
+            } else {
+                (
+                    http::StatusCode::SERVICE_UNAVAILABLE,
+                    "not ready\n".to_owned(),
+                )
+            }
+        }
+    };
+    let mut res = http::Response::new(body::whole(Bytes::from(text)));
+    *res.status_mut() = code;
+    res
+}
--- /dev/null
+++ b/limpetkeeld/src/relay/shared.rs
@@ -0,0 +1,138 @@
+//! The shared tables of a relaying instance, in the order in which they are locked.
+
+use std::{collections, sync};
+
+use limpetkeel::{
+    Contact, Ingress, Instance, Level, Ordered, Planner, PoolName, RetryBound, RetryWindow,
+    Revision, Roll, Roster, Stage, Timestamp,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock, metrics, peer,
+    relay::{jobs, port, settings},
+};
+
+/// Routes and upstreams, with what is known of the store that they come from.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The routes.
+    pub ingress: Ingress,
+    /// The upstreams.
+    pub roster: Roster,
+    /// The revision up to which all changes are in.
+    pub revision: Revision,
+    /// Since when the store does not answer.
+    pub failing_since: Option<Timestamp>,
+    /// Until when a vanished entry may have lapsed though its upstream lives.
+    pub doubtful_until: Timestamp,
+}
+
+/// The instances and the own life cycle.
+#[derive(Debug)]
+pub struct Membership {
+    /// The instances.
+    pub roll: Roll,
+    /// The own stage; absent only while a transition is made.
+    stage: Option<Stage>,
+}
+
+impl Membership {
+    /// Applies a transition to the own stage.
+    pub fn transition(&mut self, next: impl FnOnce(Stage) -> Stage) {
+        self.stage = self.stage.take().map(next);
+    }
+
+    /// Returns the own stage.
+    pub fn stage(&self) -> Option<&Stage> {
+        self.stage.as_ref()
+    }
+
+    /// Tells whether this instance is on its way out.
+    pub fn is_leaving(&self) -> bool {
+        self.stage().is_some_and(Stage::is_leaving)
+    }
+}
+
+/// Everything that workers and tasks share.
+pub struct Shared {
+    /// The settings.
+    pub settings: settings::Settings,
+    /// The clock.
+    pub clock: clock::Clock,
+    /// The metrics.
+    pub metrics: sync::Arc<metrics::Metrics>,
+    /// The messages of callers and upstreams.
+    pub codec: Box<dyn port::Codec>,
+    /// The store.
+    pub store: Box<dyn port::Store>,
+    /// The links to peers.
+    pub peers: peer::client::Peers,
+    /// The queue of the workers.
+    pub jobs: jobs::Queue,
+    /// Cancelled when the instance starts to leave.
+    pub leaving: CancellationToken,
+    /// Cancelled when no new connection is taken any more.
+    pub closing: CancellationToken,
+    /// Locked first.
+    pub in_force: Ordered<InForce>,
+    /// Locked second.
+    pub membership: Ordered<Membership>,
+    /// Locked third.
+    pub planners: Ordered<collections::BTreeMap<PoolName, Planner>>,
+    /// Locked fourth: requests that have not ended.
+    pub in_progress: Ordered<usize>,
+    /// Locked last.
+    pub retries: Ordered<collections::BTreeMap<PoolName, RetryWindow>>,
+}
+
+impl Shared {
+    /// Creates the tables of an instance that has just started.
+    pub fn new(
+        settings: settings::Settings,
+        metrics: sync::Arc<metrics::Metrics>,
+        codec: Box<dyn port::Codec>,
+        store: Box<dyn port::Store>,
+        jobs: jobs::Queue,
+    ) -> Shared {
+        let own = Contact {
+            name: settings.instance.clone(),
+            availability_zone: settings.availability_zone.clone(),
+            address: settings.peer_listen,
+        };
+        let membership = Membership {
+            roll: Roll::new(own),
+            stage: Some(Stage::Joining(Instance::new(
+                settings.instance.clone(),
+                settings.availability_zone.clone(),
+            ))),
+        };
+        let source = settings.peer_listen.ip();
+        Shared {
+            clock: clock::Clock::start(),
+            codec,
+            store,
+            peers: peer::client::Peers::new(&settings.peer_key, source, metrics.clone()),
+            metrics,
+            jobs,
+            leaving: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            in_force: Ordered::new(Level::Tables, InForce::default()),
+            membership: Ordered::new(Level::Members, membership),
+            planners: Ordered::new(Level::Keepers, collections::BTreeMap::new()),
+            in_progress: Ordered::new(Level::Requests, 0),
+            retries: Ordered::new(Level::Budgets, collections::BTreeMap::new()),
+            settings,
+        }
+    }
+
+    /// Tells whether a contact is the own one.
+    pub fn is_own(&self, contact: &Contact) -> bool {
+        contact.name == self.settings.instance
+    }
+
+    /// Returns the bound on repeated sends.
+    pub fn retry_bound(&self) -> RetryBound {
+        self.settings.retry_bound
+    }
+}
--- a/limpetkeeld/src/settings.rs
+++ b/limpetkeeld/src/settings.rs
@@ -159,13 +159,13 @@
 impl std::error::Error for Error {}
 
 /// Collects the faults of a file, so that all are shown at once.
-struct Checker<'a> {
+pub(crate) struct Checker<'a> {
     text: &'a str,
     faults: Vec<Fault>,
 }
 
 impl Checker<'_> {
-    fn check<T, U>(
+    pub(crate) fn check<T, U>(
         &mut self,
         key: &str,
         raw: &toml::Spanned<T>,
@@ -194,7 +194,7 @@
         + 1
 }
 
-fn address(text: &str) -> Result<net::SocketAddr, Problem> {
+pub(crate) fn address(text: &str) -> Result<net::SocketAddr, Problem> {
     text.parse().map_err(|_| Problem::Address)
 }
 
@@ -207,14 +207,14 @@
     }
 }
 
-fn key(text: &str) -> Result<Vec<u8>, Problem> {
+pub(crate) fn key(text: &str) -> Result<Vec<u8>, Problem> {
     if text.len() < MIN_KEY_BYTES {
         return Err(Problem::ShortKey);
     }
     Ok(text.as_bytes().to_vec())
 }
 
-fn between(low: u64, high: u64) -> impl Fn(&u64) -> Result<u64, Problem> {
+pub(crate) fn between(low: u64, high: u64) -> impl Fn(&u64) -> Result<u64, Problem> {
     move |value| {
         if (low..=high).contains(value) {
             Ok(*value)
@@ -231,24 +231,32 @@
     ///
     /// Fails with every fault of the text.
     fn try_from(text: &str) -> Result<Settings, Error> {
-        let raw: Raw = toml::from_str(text).map_err(|e| {
-            let line = e.span().map_or(1, |span| line_of(text, span.start));
-            let problem = Problem::Syntax(e.message().to_owned());
-            Error::Faults(vec![Fault {
-                key: "settings".to_owned(),
-                line,
-                problem,
-            }])
-        })?;
-        let mut checker = Checker {
-            text,
-            faults: Vec::new(),
-        };
-        let settings = raw.check(&mut checker);
-        settings.ok_or(Error::Faults(checker.faults))
+        parse(text, Raw::check)
     }
 }
 
+/// Parses a text and checks it, collecting every fault.
+pub(crate) fn parse<R: serde::de::DeserializeOwned, S>(
+    text: &str,
+    check: impl FnOnce(&R, &mut Checker<'_>) -> Option<S>,
+) -> Result<S, Error> {
+    let raw: R = toml::from_str(text).map_err(|e| {
+        let line = e.span().map_or(1, |span| line_of(text, span.start));
+        let problem = Problem::Syntax(e.message().to_owned());
+        Error::Faults(vec![Fault {
+            key: "settings".to_owned(),
+            line,
+            problem,
+        }])
+    })?;
+    let mut checker = Checker {
+        text,
+        faults: Vec::new(),
+    };
+    let settings = check(&raw, &mut checker);
+    settings.ok_or(Error::Faults(checker.faults))
+}
+
 impl Raw {
     fn check(&self, checker: &mut Checker<'_>) -> Option<Settings> {
         let instance = checker.check("instance", &self.instance, |text| {
