--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -202,17 +202,19 @@
         };
         let parts = (timing.read_ms(prompt) / PART_MS).ceil() as usize;
         let count = parts.clamp(2, MAX_HELPERS + 1) - 1;
-        let readers = lane.iter().map(|upstream| upstream.place());
         let mut helpers = reserved;
-        let cycle: Vec<_> = readers.collect();
-        for place in cycle.iter().cycle() {
+        for upstream in lane {
             if helpers.len() >= count {
                 break;
             }
-            helpers.push(plan::Helper {
-                place: place.clone(),
-                reserve: None,
-            });
+            let place = upstream.place();
+            // An engine takes one part of a prompt only.
+            if !helpers.iter().any(|helper| helper.place == place) {
+                helpers.push(plan::Helper {
+                    place,
+                    reserve: None,
+                });
+            }
         }
         self.enter(now, timing, demand, &lead, &helpers);
         Ok(plan::Plan {
