--- a/limpetkeel/src/exchange.rs
+++ b/limpetkeel/src/exchange.rs
@@ -193,6 +193,13 @@
         &self.state.plan
     }
 
+    /// Tells whether the request may be sent again if this attempt fails now.
+    pub fn may_resend(&self, now: unit::Timestamp) -> bool {
+        self.subject.repeat != ingress::Repeat::Never
+            && self.sends < self.subject.max_sends
+            && self.deadline.since(now) >= LEAST_TIME
+    }
+
     /// Decides about an event by its number, and tells whether the caller still needs it.
     pub fn accept(&mut self, event: u64) -> bool {
         let next = self.delivered.is_none_or(|last| event > last);
--- a/limpetkeel/src/retry_window.rs
+++ b/limpetkeel/src/retry_window.rs
@@ -45,15 +45,20 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat out of the budget and tells whether there was one.
-    pub fn spend(&mut self, now: unit::Timestamp, bound: &Bound, instances: usize) -> bool {
+    /// Tells whether the budget has one more repeat.
+    pub fn allows(&mut self, now: unit::Timestamp, bound: &Bound, instances: usize) -> bool {
         self.trim(now, bound.window);
         let own = bound.allowance / instances.max(1) as f64;
         let limit = (bound.ratio * self.requests.len() as f64 + own) * USED_SHARE;
-        if (self.repeats.len() + 1) as f64 > limit {
-            return false;
+        (self.repeats.len() + 1) as f64 <= limit
+    }
+
+    /// Takes one repeat out of the budget and tells whether there was one.
+    pub fn spend(&mut self, now: unit::Timestamp, bound: &Bound, instances: usize) -> bool {
+        let allowed = self.allows(now, bound, instances);
+        if allowed {
+            self.repeats.push_back(now);
         }
-        self.repeats.push_back(now);
-        true
+        allowed
     }
 }
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -4,7 +4,8 @@
 //! gets a plan from the pool's planner, [`reserve`] sets memory aside for groups, and [`attempt`]
 //! makes one attempt over one connection of [`upstream`], whose events [`events`] divides.
 //! [`follow`] keeps the tables current with the store, or with a peer while the store does not
-//! answer, and [`register`] keeps the own instance listed. [`leave`] ends the instance.
+//! answer, and [`register`] keeps the own instance listed. [`reload`] reads the
+//! settings again, and [`leave`] ends the instance.
 //!
 //! All wire formats are behind the traits of [`port`].
 
@@ -21,6 +22,7 @@
 pub mod planning;
 pub mod port;
 pub mod register;
+pub mod reload;
 pub mod reserve;
 pub mod settings;
 pub mod shared;
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -220,7 +220,7 @@
     outlet: &mut Outlet,
 ) -> Result<Option<Whole>, Failure> {
     let left = exchange.deadline().since(shared.clock.now());
-    let last = exchange.sends() >= exchange.subject().max_sends;
+    let last = !may_resume(shared, exchange);
     let patience = first_patience(call, left, last);
     let by = tokio::time::Instant::now() + patience;
     let req = request(shared, call, exchange, helpers, left);
@@ -296,7 +296,14 @@
     let mut buffer = events::Buffer::default();
     loop {
         let received = tokio::time::timeout_at(by, answer.next()).await;
-        let received = received.map_err(|_| Failure::Failed(Cause::Silent))?;
+        let Ok(received) = received else {
+            if may_resume(shared, exchange) {
+                return Err(Failure::Failed(Cause::Silent));
+            }
+            // Nothing is gained by cutting off what cannot go on elsewhere.
+            by += patience;
+            continue;
+        };
         let bytes = match received.map_err(|_| Failure::Failed(Cause::Broken))? {
             Some(bytes) => bytes,
             None if buffer.is_empty() && outlet.is_streaming() => return Ok(()),
@@ -321,6 +328,19 @@
     }
 }
 
+/// Tells whether the stream could go on at another upstream.
+fn may_resume(shared: &shared::Shared, exchange: &Exchange<Sent>) -> bool {
+    let now = shared.clock.now();
+    let bound = shared.retry_bound();
+    let instances = shared.membership.lock().roll.len();
+    let mut retries = shared.retries.lock();
+    let pool = &exchange.subject().pool;
+    let budget = retries
+        .get_mut(pool)
+        .is_some_and(|window| window.allows(now, &bound, instances));
+    budget && exchange.may_resend(now)
+}
+
 fn note_first(shared: &shared::Shared, call: &Call, exchange: &Exchange<Sent>) {
     let elapsed = shared.clock.now().since(exchange.received());
     let priority = call.admission.priority().min(9).to_string();
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts a relaying instance and runs it until it has left.
 
-use std::{convert, fmt, io, net, sync};
+use std::{convert, fmt, io, net, path, sync};
 
 use bytes::Bytes;
 use hyper::{body::Incoming, server::conn::http1, service};
@@ -9,7 +9,9 @@
 
 use crate::{
     listener, metrics, peer,
-    relay::{answers, body, follow, front, jobs, leave, port, register, settings, shared, worker},
+    relay::{
+        answers, body, follow, front, jobs, leave, port, register, reload, settings, shared, worker,
+    },
 };
 
 /// Why an instance could not start.
@@ -35,12 +37,13 @@
 
 impl std::error::Error for Error {}
 
-/// Runs an instance until it has left.
+/// Runs an instance with the settings of a file until it has left.
 ///
 /// # Errors
 ///
 /// Fails if the instance cannot start.
 pub async fn run(
+    file: path::PathBuf,
     settings: settings::Settings,
     codec: Box<dyn port::Codec>,
     store: Box<dyn port::Store>,
@@ -69,9 +72,11 @@
         http = %shared.settings.http_listen,
         peers = %shared.settings.peer_listen,
     );
+    let reloads = tokio::spawn(reload::run(shared.clone(), file));
     let fronts = tokio::spawn(front::listen(shared.clone()));
     let left = tokio::select! {
         left = leave::run(&shared) => left.map_err(Error::Signals),
+        Ok(Err(e)) = reloads => Err(Error::Signals(e)),
         Ok(Err(e)) = fronts => Err(Error::Listen(shared.settings.http_listen, e)),
     };
     registration.abort();
--- a/limpetkeeld/src/relay/settings.rs
+++ b/limpetkeeld/src/relay/settings.rs
@@ -40,7 +40,7 @@
 }
 
 /// Checked settings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The name of the instance.
     pub instance: InstanceName,
@@ -149,6 +149,15 @@
 }
 
 impl Settings {
+    /// Tells whether something differs that only a restart takes over.
+    pub fn needs_restart(&self, other: &Settings) -> bool {
+        let taken = Settings {
+            retry_bound: other.retry_bound,
+            ..self.clone()
+        };
+        taken != *other
+    }
+
     /// Reads and checks a file.
     ///
     /// # Errors
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -82,6 +82,8 @@
     pub planners: Ordered<collections::BTreeMap<PoolName, Planner>>,
     /// Locked fourth: requests that have not ended.
     pub in_progress: Ordered<usize>,
+    /// Locked sixth, and never beside another one.
+    retry_bound: Ordered<RetryBound>,
     /// Locked last.
     pub retries: Ordered<collections::BTreeMap<PoolName, RetryWindow>>,
 }
@@ -121,6 +123,7 @@
             membership: Ordered::new(Level::Members, membership),
             planners: Ordered::new(Level::Keepers, collections::BTreeMap::new()),
             in_progress: Ordered::new(Level::Requests, 0),
+            retry_bound: Ordered::new(Level::RunOnce, settings.retry_bound),
             retries: Ordered::new(Level::Budgets, collections::BTreeMap::new()),
             settings,
         }
@@ -133,6 +136,11 @@
 
     /// Returns the bound on repeated sends.
     pub fn retry_bound(&self) -> RetryBound {
-        self.settings.retry_bound
+        *self.retry_bound.lock()
+    }
+
+    /// Replaces the bound on repeated sends.
+    pub fn set_retry_bound(&self, bound: RetryBound) {
+        *self.retry_bound.lock() = bound;
     }
 }
