Let the patience for a first event follow the planner's estimate

The plan now carries the estimate of its first token; patience is three times that, and 1.5 s at least.

--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -39,6 +39,8 @@
     pub lead: grant::Place,
     /// Engines that read parts of the prompt, those with a reservation first.
     pub helpers: Vec<Helper>,
+    /// The time to the first token that the planner expects.
+    pub estimate: unit::Millis,
 }
 
 /// How one upstream fared with a request.
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -174,6 +174,7 @@
             id: demand.id,
             lead,
             helpers: Vec::new(),
+            estimate: unit::Millis(estimate as u64),
         })
     }
 
@@ -216,11 +217,12 @@
                 });
             }
         }
-        self.enter(now, timing, demand, &lead, &helpers);
+        let estimate = self.enter(now, timing, demand, &lead, &helpers);
         Ok(plan::Plan {
             id: demand.id,
             lead,
             helpers,
+            estimate: unit::Millis(estimate as u64),
         })
     }
 
@@ -276,6 +278,7 @@
         Err(error::Error::NoMemory)
     }
 
+    /// Enters a long prompt in the ledgers and returns when it will be read, in milliseconds.
     fn enter(
         &mut self,
         now: unit::Timestamp,
@@ -283,12 +286,14 @@
         demand: &plan::Demand,
         lead: &grant::Place,
         helpers: &[plan::Helper],
-    ) {
+    ) -> f64 {
+        let mut estimate: f64 = 0.0;
         let part = timing.part_ms(demand.work.prompt, helpers.len() + 1);
         let mut reserved = unit::Tokens::ZERO;
         for helper in helpers {
             if let Some(upstream) = self.upstreams.get_mut(&helper.place.upstream) {
                 upstream.read(now, part);
+                estimate = estimate.max(upstream.backlog(now));
                 if let Some(tokens) = helper.reserve {
                     upstream.reserve(demand.id, tokens);
                     reserved += tokens;
@@ -297,9 +302,12 @@
         }
         if let Some(upstream) = self.upstreams.get_mut(&lead.upstream) {
             upstream.read(now, part);
+            let passes = upstream.estimate(now, Some(timing), Default::default());
+            estimate = estimate.max(passes);
             let memory = demand.work.memory().saturating_sub(reserved);
             upstream.write(demand.id, memory);
         }
+        estimate
     }
 
     fn resize_lane(&mut self, now: unit::Timestamp, timing: Option<&engine::Timing>) {
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use bytes::{Bytes, BytesMut};
-use limpetkeel::{Admission, Exchange, Form, Millis, Repeat, Sent, UpstreamName};
+use limpetkeel::{Admission, Exchange, Form, Millis, Repeat, Sent, Timestamp, UpstreamName};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::relay::{body, events, port, shared, upstream};
@@ -17,8 +17,12 @@
 /// An engine has this many times the objective to its first event.
 const FIRST_PATIENCE: f64 = 3.0;
 
-/// Even with a short objective, a first event may take this long: a full pass and a full queue.
-const LEAST_FIRST: Millis = Millis(900);
+/// Even with a short objective, a first event may take this long. Callers leave a silent stream
+/// after two seconds; asking another engine sooner doubles the load of engines that are only busy.
+const LEAST_FIRST: Millis = Millis(1_500);
+
+/// A first event may take this many times what the planner expects.
+const ESTIMATE_PATIENCE: f64 = 3.0;
 
 /// A first event may take this part of what is left, so that another engine still has time.
 const FIRST_SHARE: f64 = 0.45;
@@ -73,6 +77,7 @@
 pub struct Outlet {
     reply: Option<oneshot::Sender<Reply>>,
     events: Option<mpsc::Sender<Result<Bytes, body::Broken>>>,
+    first: Option<Timestamp>,
 }
 
 /// The caller has closed its connection.
@@ -85,9 +90,15 @@
         Outlet {
             reply: Some(reply),
             events: None,
+            first: None,
         }
     }
 
+    /// Returns when the first event was passed on.
+    pub fn first(&self) -> Option<Timestamp> {
+        self.first
+    }
+
     /// Tells whether a stream has begun, so that no other reply can be given.
     pub fn is_streaming(&self) -> bool {
         self.events.is_some()
@@ -164,7 +175,7 @@
 }
 
 /// Returns how long the first bytes of an answer may take.
-fn first_patience(call: &Call, left: Millis, last: bool) -> time::Duration {
+fn first_patience(call: &Call, left: Millis, estimate: Millis, last: bool) -> time::Duration {
     let route = &call.admission.route;
     let objective = route.objective().first;
     if last || route.repeat() == Repeat::Never {
@@ -172,7 +183,9 @@
     }
     let patience = match route.form() {
         Form::Whole => scale(objective, WHOLE_PATIENCE),
-        Form::Stream => scale(objective, FIRST_PATIENCE).max(LEAST_FIRST),
+        Form::Stream => scale(objective, FIRST_PATIENCE)
+            .max(scale(estimate, ESTIMATE_PATIENCE))
+            .max(LEAST_FIRST),
     };
     patience.min(scale(left, FIRST_SHARE)).duration()
 }
@@ -221,7 +234,7 @@
 ) -> Result<Option<Whole>, Failure> {
     let left = exchange.deadline().since(shared.clock.now());
     let last = !may_resume(shared, exchange);
-    let patience = first_patience(call, left, last);
+    let patience = first_patience(call, left, exchange.plan().estimate, last);
     let by = tokio::time::Instant::now() + patience;
     let req = request(shared, call, exchange, helpers, left);
     let sent = tokio::time::timeout_at(by, connection.send(req)).await;
@@ -320,6 +333,7 @@
                 continue;
             }
             if !outlet.is_streaming() {
+                outlet.first = Some(shared.clock.now());
                 note_first(shared, call, exchange);
             }
             let passed = outlet.event(&head, event.bytes).await;
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -100,6 +100,9 @@
         reason = history.end.map_or("", End::code),
         sends = history.sends,
         last_upstream = history.last.as_ref().map_or("", |name| name.as_str()),
+        helpers = history.helpers,
+        estimate_ms = history.estimate.0,
+        first_ms = outlet.first().map_or(0, |at| at.since(received).0),
         elapsed_ms = elapsed.0,
     );
     let form = match call.admission.route.form() {
@@ -131,6 +134,8 @@
     may_have_run: bool,
     sends: u32,
     last: Option<UpstreamName>,
+    helpers: usize,
+    estimate: Millis,
     end: Option<End>,
     /// An upstream's own error, which is passed on if no better answer comes.
     error: Option<attempt::Whole>,
@@ -171,6 +176,8 @@
         let (plan, mut held) = place(shared, call, &exchange).await?;
         let lead = plan.lead.clone();
         history.last = Some(lead.upstream.clone());
+        history.helpers = plan.helpers.len();
+        history.estimate = plan.estimate;
         let placed = exchange.place(plan);
         let ready = prepare(shared, &placed).await;
         let (group, connection) = match ready {
