Take the reading of a failed plan out of the ledger

Cause: plans whose connection or reservation failed left their reading in the ledger, and each new plan of the same request added it again: estimates of 9 s where first events took 0.6.

--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -71,4 +71,6 @@
     pub upstream: name::UpstreamName,
     /// How it fared.
     pub verdict: Verdict,
+    /// Whether the answer began, so that the prompt was read.
+    pub begun: bool,
 }
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 struct Ledger {
     parts: Vec<name::UpstreamName>,
+    /// The reading of each part, in milliseconds.
+    part_ms: f64,
     lapses: unit::Timestamp,
 }
 
@@ -134,7 +136,15 @@
         let helpers = plan.helpers.iter().map(|helper| &helper.place.upstream);
         let parts = helpers.chain([&plan.lead.upstream]).cloned().collect();
         let lapses = now.after(demand.remaining + LAPSE_GRACE);
-        self.plans.insert(demand.id, Ledger { parts, lapses });
+        let part_ms = self.timing.map_or(0.0, |timing| {
+            timing.part_ms(demand.work.prompt, plan.helpers.len() + 1)
+        });
+        let ledger = Ledger {
+            parts,
+            part_ms,
+            lapses,
+        };
+        self.plans.insert(demand.id, ledger);
         Ok(plan)
     }
 
@@ -365,16 +375,20 @@
             };
             self.health.note(now, seen, settlement.verdict);
         }
-        self.release(settlement.id);
+        self.release(now, settlement.id, settlement.begun);
     }
 
-    fn release(&mut self, id: grant::RequestId) {
+    /// Gives back what a plan takes; its reading too, if the prompt was not read.
+    fn release(&mut self, now: unit::Timestamp, id: grant::RequestId, read: bool) {
         let Some(ledger) = self.plans.remove(&id) else {
             return;
         };
         for name in &ledger.parts {
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.release(id);
+                if !read {
+                    upstream.unread(now, ledger.part_ms);
+                }
             }
         }
     }
@@ -388,7 +402,7 @@
             .map(|(id, _)| *id)
             .collect();
         for id in lapsed {
-            self.release(id);
+            self.release(now, id, true);
         }
     }
 
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -92,6 +92,11 @@
         self.reads_until = self.reads_until.max(now.0 as f64) + ms;
     }
 
+    /// Takes reading back that will not be done.
+    pub(super) fn unread(&mut self, now: unit::Timestamp, ms: f64) {
+        self.reads_until = (self.reads_until - ms).max(now.0 as f64);
+    }
+
     /// Adds a stream and the memory that it takes when it is complete.
     pub(super) fn write(&mut self, id: grant::RequestId, memory: unit::Tokens) {
         self.memory += memory;
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -6,7 +6,7 @@
 use limpetkeel::{Admission, Exchange, Form, Millis, Repeat, Sent, Timestamp, UpstreamName};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::relay::{body, events, port, shared, upstream};
+use crate::relay::{body, events, planning, port, shared, upstream};
 
 /// A whole answer is at most this long: it is held until it is complete.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -219,6 +219,16 @@
     req
 }
 
+/// What an attempt runs over.
+pub struct Way<'a> {
+    /// The connection to the lead.
+    pub connection: upstream::Connection,
+    /// The engines that help.
+    pub helpers: &'a [port::HelperRef],
+    /// The plan, which is told when the answer begins.
+    pub held: &'a mut planning::Held,
+}
+
 /// Sends the request over a connection and passes its answer on.
 ///
 /// # Errors
@@ -228,16 +238,15 @@
     shared: &sync::Arc<shared::Shared>,
     call: &Call,
     exchange: &mut Exchange<Sent>,
-    connection: upstream::Connection,
-    helpers: &[port::HelperRef],
+    way: Way<'_>,
     outlet: &mut Outlet,
 ) -> Result<Option<Whole>, Failure> {
     let left = exchange.deadline().since(shared.clock.now());
     let last = !may_resume(shared, exchange);
     let patience = first_patience(call, left, exchange.plan().estimate, last);
     let by = tokio::time::Instant::now() + patience;
-    let req = request(shared, call, exchange, helpers, left);
-    let sent = tokio::time::timeout_at(by, connection.send(req)).await;
+    let req = request(shared, call, exchange, way.helpers, left);
+    let sent = tokio::time::timeout_at(by, way.connection.send(req)).await;
     let mut answer = sent
         .map_err(|_| Failure::Failed(Cause::Silent))?
         .map_err(|_| Failure::Failed(Cause::Broken))?;
@@ -251,7 +260,12 @@
     }
     let success = answer.head.status.is_success();
     if success && call.admission.route.form() == Form::Stream {
-        stream(shared, call, exchange, &mut answer, by, outlet).await?;
+        let from = Stream {
+            answer: &mut answer,
+            first_by: by,
+            held: way.held,
+        };
+        stream(shared, call, exchange, from, outlet).await?;
         return Ok(None);
     }
     let collected = tokio::time::timeout_at(by, collect(&mut answer)).await;
@@ -295,17 +309,25 @@
     }
 }
 
+/// A stream whose head has arrived.
+struct Stream<'a> {
+    answer: &'a mut upstream::Answer,
+    first_by: tokio::time::Instant,
+    held: &'a mut planning::Held,
+}
+
 async fn stream(
     shared: &shared::Shared,
     call: &Call,
     exchange: &mut Exchange<Sent>,
-    answer: &mut upstream::Answer,
-    first_by: tokio::time::Instant,
+    from: Stream<'_>,
     outlet: &mut Outlet,
 ) -> Result<(), Failure> {
+    let answer = from.answer;
     let head = shared.codec.pass_answer(&answer.head);
     let patience = pause_patience(call);
-    let mut by = first_by;
+    let mut by = from.first_by;
+    let mut begun = false;
     let mut buffer = events::Buffer::default();
     loop {
         let received = tokio::time::timeout_at(by, answer.next()).await;
@@ -329,6 +351,9 @@
                 break;
             };
             by = tokio::time::Instant::now() + patience;
+            if !std::mem::replace(&mut begun, true) {
+                from.held.begin();
+            }
             if event.id.is_some_and(|id| !exchange.accept(id)) {
                 continue;
             }
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -197,8 +197,12 @@
         let mut sent = placed.send();
         history.may_have_run = true;
         history.sends = sent.sends();
-        let helpers = group.helpers();
-        let ran = attempt::run(shared, call, &mut sent, connection, helpers, outlet).await;
+        let way = attempt::Way {
+            connection,
+            helpers: group.helpers(),
+            held: &mut held,
+        };
+        let ran = attempt::run(shared, call, &mut sent, way, outlet).await;
         let (at_fault, verdict, reason) = match ran {
             Ok(whole) => {
                 held.judge(&lead.upstream, Verdict::Good);
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -38,6 +38,11 @@
 }
 
 impl Held {
+    /// Records that the answer has begun.
+    pub fn begin(&mut self) {
+        self.settlement.begun = true;
+    }
+
     /// Records how an upstream of the plan fared.
     pub fn judge(&mut self, upstream: &UpstreamName, verdict: Verdict) {
         self.settlement.upstream = upstream.clone();
@@ -92,6 +97,7 @@
         availability_zone: demand.availability_zone.clone(),
         upstream: plan.lead.upstream.clone(),
         verdict: Verdict::Unjudged,
+        begun: false,
     };
     let held = Held {
         shared: shared.clone(),
@@ -176,6 +182,7 @@
         availability_zone: demand.availability_zone.clone(),
         upstream: plan.lead.upstream.clone(),
         verdict: Verdict::Unjudged,
+        begun: false,
     };
     settle_here(shared, &settlement);
 }
