Gather long streams on few engines, which short ones avoid

A lead pays for each short stream that it disturbs, short work for a place beside long streams. The longest pause of a stream is logged.

--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -48,6 +48,13 @@
 /// What short work pays for a place in the lane, in milliseconds.
 const LANE_MS: f64 = 300.0;
 
+/// What short work pays for a place beside a long stream, in milliseconds: more long prompts are
+/// going to be read there.
+const LEAD_MS: f64 = 80.0;
+
+/// What a long prompt pays for each short stream that its part delays, in milliseconds.
+const DISTURBED_MS: f64 = 60.0;
+
 #[derive(Debug)]
 struct Ledger {
     parts: Vec<name::UpstreamName>,
@@ -164,7 +171,10 @@
         let cost = |upstream: &upstream::Upstream| {
             let cost = upstream.estimate(now, timing, demand.work);
             let in_lane = self.lane.holds(upstream.name());
-            cost + self.distance(now, upstream, demand) + if in_lane { LANE_MS } else { 0.0 }
+            let leads = upstream.streams_of(upstream::Length::Long) > 0;
+            cost + self.distance(now, upstream, demand)
+                + if in_lane { LANE_MS } else { 0.0 }
+                + if leads { LEAD_MS } else { 0.0 }
         };
         let (estimate, lead) = self
             .candidates(now, demand)
@@ -178,7 +188,7 @@
         if let Some(upstream) = self.upstreams.get_mut(&lead.upstream) {
             let reading = timing.map_or(0.0, |timing| timing.read_ms(demand.work.prompt));
             upstream.read(now, reading);
-            upstream.write(demand.id, demand.work.memory());
+            upstream.write(demand.id, demand.work.memory(), upstream::Length::Short);
         }
         Ok(plan::Plan {
             id: demand.id,
@@ -247,8 +257,10 @@
         let fits = |upstream: &upstream::Upstream| upstream.free(room) >= demand.work.memory();
         let cost = |upstream: &upstream::Upstream| {
             let in_lane = self.lane.holds(upstream.name());
+            let disturbed = upstream.streams_of(upstream::Length::Short);
             let pass = upstream.estimate(now, Some(timing), Default::default());
             pass + self.distance(now, upstream, demand)
+                + disturbed as f64 * DISTURBED_MS
                 + if fits(upstream) { 0.0 } else { 10.0 * LANE_MS }
                 + if in_lane { LANE_MS } else { 0.0 }
         };
@@ -315,7 +327,7 @@
             let passes = upstream.estimate(now, Some(timing), Default::default());
             estimate = estimate.max(passes);
             let memory = demand.work.memory().saturating_sub(reserved);
-            upstream.write(demand.id, memory);
+            upstream.write(demand.id, memory, upstream::Length::Long);
         }
         estimate
     }
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -7,12 +7,27 @@
 /// What one request waits for beyond a full upstream, in milliseconds: it queues there.
 const FULL_MS: f64 = 400.0;
 
+/// How long the prompt of a stream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Length {
+    /// Its engine reads it alone.
+    Short,
+    /// Other engines help to read it.
+    Long,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stream {
+    memory: unit::Tokens,
+    length: Length,
+}
+
 #[derive(Debug)]
 pub(super) struct Upstream {
     entry: roster::Entry,
     /// When the planned reading is done, in milliseconds of the planner's clock.
     reads_until: f64,
-    writes: collections::BTreeMap<grant::RequestId, unit::Tokens>,
+    writes: collections::BTreeMap<grant::RequestId, Stream>,
     reserved: collections::BTreeMap<grant::RequestId, unit::Tokens>,
     memory: unit::Tokens,
 }
@@ -52,6 +67,12 @@
         self.writes.len()
     }
 
+    /// Returns the streams of one length that are written here.
+    pub(super) fn streams_of(&self, length: Length) -> usize {
+        let streams = self.writes.values();
+        streams.filter(|stream| stream.length == length).count()
+    }
+
     /// Returns the memory that is left of `room`.
     pub(super) fn free(&self, room: unit::Tokens) -> unit::Tokens {
         room.saturating_sub(self.memory)
@@ -98,9 +119,9 @@
     }
 
     /// Adds a stream and the memory that it takes when it is complete.
-    pub(super) fn write(&mut self, id: grant::RequestId, memory: unit::Tokens) {
+    pub(super) fn write(&mut self, id: grant::RequestId, memory: unit::Tokens, length: Length) {
         self.memory += memory;
-        self.writes.insert(id, memory);
+        self.writes.insert(id, Stream { memory, length });
     }
 
     /// Sets memory aside for a part of a prompt.
@@ -111,7 +132,8 @@
 
     /// Gives back what a request takes.
     pub(super) fn release(&mut self, id: grant::RequestId) {
-        let freed = self.writes.remove(&id).into_iter();
+        let freed = self.writes.remove(&id).map(|stream| stream.memory);
+        let freed = freed.into_iter();
         let freed: unit::Tokens = freed.chain(self.reserved.remove(&id)).sum();
         self.memory = self.memory.saturating_sub(freed);
     }
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -78,6 +78,8 @@
     reply: Option<oneshot::Sender<Reply>>,
     events: Option<mpsc::Sender<Result<Bytes, body::Broken>>>,
     first: Option<Timestamp>,
+    last: Option<Timestamp>,
+    longest_pause: Millis,
 }
 
 /// The caller has closed its connection.
@@ -91,6 +93,8 @@
             reply: Some(reply),
             events: None,
             first: None,
+            last: None,
+            longest_pause: Millis::ZERO,
         }
     }
 
@@ -99,6 +103,18 @@
         self.first
     }
 
+    /// Returns the longest time between two events.
+    pub fn longest_pause(&self) -> Millis {
+        self.longest_pause
+    }
+
+    fn note_event(&mut self, now: Timestamp) {
+        let pause = self.last.map_or(Millis::ZERO, |last| now.since(last));
+        self.longest_pause = self.longest_pause.max(pause);
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+    }
+
     /// Tells whether a stream has begun, so that no other reply can be given.
     pub fn is_streaming(&self) -> bool {
         self.events.is_some()
@@ -358,9 +374,9 @@
                 continue;
             }
             if !outlet.is_streaming() {
-                outlet.first = Some(shared.clock.now());
                 note_first(shared, call, exchange);
             }
+            outlet.note_event(shared.clock.now());
             let passed = outlet.event(&head, event.bytes).await;
             passed.map_err(|CallerGone| Failure::CallerGone)?;
         }
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -103,6 +103,7 @@
         helpers = history.helpers,
         estimate_ms = history.estimate.0,
         first_ms = outlet.first().map_or(0, |at| at.since(received).0),
+        longest_pause_ms = outlet.longest_pause().0,
         elapsed_ms = elapsed.0,
     );
     let form = match call.admission.route.form() {
