Ask two planners by hash before the own zone's, and double suspicion

Cause: when the planner was cut off, each zone fell back to its own, so two planners planned the same engines, and every 1.5 s each instance tried the lost one again.

--- a/limpetkeel/src/roll.rs
+++ b/limpetkeel/src/roll.rs
@@ -10,12 +10,25 @@
 /// that a frozen planner costs few requests, short enough that a revived one is used soon.
 const SUSPICION: unit::Millis = unit::Millis(1_500);
 
+/// The suspicion doubles with each further miss, up to this: a zone is cut off for seconds.
+const LONGEST_SUSPICION: unit::Millis = unit::Millis(6_000);
+
+/// Planners that are asked before the one of the own availability zone.
+const PLANNERS: usize = 2;
+
+/// Since when, and for how long, an instance is passed over.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    until: unit::Timestamp,
+    span: unit::Millis,
+}
+
 /// The instances of the system as one of them sees them.
 #[derive(Debug)]
 pub struct Roll {
     own: member::Contact,
     listed: collections::BTreeMap<name::InstanceName, member::Contact>,
-    suspected: collections::BTreeMap<name::InstanceName, unit::Timestamp>,
+    suspected: collections::BTreeMap<name::InstanceName, Suspicion>,
 }
 
 impl Roll {
@@ -70,7 +83,18 @@
 
     /// Passes an instance over for a while, since it did not answer.
     pub fn suspect(&mut self, now: unit::Timestamp, name: &name::InstanceName) {
-        self.suspected.insert(name.clone(), now.after(SUSPICION));
+        let before = self.suspected.get(name);
+        let span = before.map_or(SUSPICION, |before| {
+            // Requests that were under way together count as one miss.
+            if now < before.until {
+                before.span
+            } else {
+                unit::Millis(before.span.0 * 2).min(LONGEST_SUSPICION)
+            }
+        });
+        let until = now.after(span);
+        self.suspected
+            .insert(name.clone(), Suspicion { until, span });
     }
 
     /// Notes that an instance answered.
@@ -80,24 +104,29 @@
 
     fn trusted(&self, now: unit::Timestamp) -> impl Iterator<Item = &member::Contact> {
         self.listed.values().filter(move |contact| {
-            let until = self.suspected.get(&contact.name);
-            until.is_none_or(|until| *until <= now)
+            let suspicion = self.suspected.get(&contact.name);
+            suspicion.is_none_or(|suspicion| suspicion.until <= now)
         })
     }
 
-    /// Returns the instances to ask for plans of a key, in order: the one that the key hashes to,
-    /// then the one of the own availability zone.
+    /// Returns the instances to ask for plans of a key, in order: those that the key hashes to
+    /// first, then one of the own availability zone.
     ///
-    /// Rendezvous hashing: when an instance goes, only its own keys move. The second one holds
-    /// when the own zone is cut off.
+    /// Rendezvous hashing: when an instance goes, only its own keys move. The last one holds when
+    /// the own zone is cut off.
     pub fn planners(&self, now: unit::Timestamp, key: &str) -> Vec<member::Contact> {
-        let first = self.trusted(now).max_by_key(|c| weight(c, key));
-        let second = self
-            .trusted(now)
-            .filter(|c| c.availability_zone == self.own.availability_zone)
-            .filter(|c| first.is_none_or(|first| first.name != c.name))
-            .max_by_key(|c| weight(c, key));
-        first.into_iter().chain(second).cloned().collect()
+        let mut ranked: Vec<_> = self.trusted(now).collect();
+        ranked.sort_by_key(|contact| std::cmp::Reverse(weight(contact, key)));
+        let zone = &self.own.availability_zone;
+        let local = ranked
+            .iter()
+            .skip(PLANNERS)
+            .find(|contact| contact.availability_zone == *zone);
+        let first = ranked.iter().take(PLANNERS);
+        first
+            .chain(local)
+            .map(|contact| (*contact).clone())
+            .collect()
     }
 
     /// Returns another instance that answers; `draw` is a random number.
