Plan engines that begin late with that delay

Cause: instances that are cut off plan alone, so engines carry work of which the planner does not know, and slow engines were planned as fast ones. The first event is reported to the planner; a delay of more than 60 ms beyond the estimate counts against the engine and halves each second.

--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -60,6 +60,8 @@
     parts: Vec<name::UpstreamName>,
     /// The reading of each part, in milliseconds.
     part_ms: f64,
+    planned: unit::Timestamp,
+    estimate: unit::Millis,
     lapses: unit::Timestamp,
 }
 
@@ -149,6 +151,8 @@
         let ledger = Ledger {
             parts,
             part_ms,
+            planned: now,
+            estimate: plan.estimate,
             lapses,
         };
         self.plans.insert(demand.id, ledger);
@@ -371,8 +375,26 @@
     }
 }
 
-/// Ends.
+/// Progress and ends.
 impl Planner {
+    /// Takes in that the answer under a plan has begun.
+    ///
+    /// An engine that took longer than planned has work of which this planner does not know, or
+    /// is slow; it is planned with that delay for a while.
+    pub fn begun(&mut self, now: unit::Timestamp, id: grant::RequestId) {
+        let Some(ledger) = self.plans.get(&id) else {
+            return;
+        };
+        let took = now.since(ledger.planned).0 as f64;
+        let delay = took - ledger.estimate.0 as f64;
+        // With helpers, nobody knows which engine was late.
+        if let [alone] = &ledger.parts[..]
+            && let Some(upstream) = self.upstreams.get_mut(alone)
+        {
+            upstream.note_delay(now, delay);
+        }
+    }
+
     /// Takes in how an upstream fared, and ends its plan unless the request goes on under it.
     pub fn settle(&mut self, now: unit::Timestamp, settlement: &plan::Settlement) {
         let zone = self
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -30,8 +30,19 @@
     writes: collections::BTreeMap<grant::RequestId, Stream>,
     reserved: collections::BTreeMap<grant::RequestId, unit::Tokens>,
     memory: unit::Tokens,
+    /// How much later than planned answers begin, in milliseconds, and when that was noted.
+    delay: (f64, unit::Timestamp),
 }
 
+/// The weight of one answer in the delay of an upstream.
+const DELAY_WEIGHT: f64 = 0.5;
+
+/// Answers begin this much later than planned without a reason: the phase of a pass is unknown.
+const USUAL_DELAY_MS: f64 = 60.0;
+
+/// A delay halves in this long without news: about the time that a stream lives.
+const DELAY_HALF_LIFE_MS: f64 = 1_000.0;
+
 impl Upstream {
     pub(super) fn new(entry: &roster::Entry) -> Upstream {
         Upstream {
@@ -40,9 +51,24 @@
             writes: collections::BTreeMap::new(),
             reserved: collections::BTreeMap::new(),
             memory: unit::Tokens::ZERO,
+            delay: (0.0, unit::Timestamp::ZERO),
         }
     }
 
+    /// Notes how much later than planned an answer began; a negative delay was early.
+    pub(super) fn note_delay(&mut self, now: unit::Timestamp, ms: f64) {
+        let before = self.delay_ms(now);
+        let unusual = ms - USUAL_DELAY_MS;
+        let delay = (before + (unusual - before) * DELAY_WEIGHT).max(0.0);
+        self.delay = (delay, now);
+    }
+
+    fn delay_ms(&self, now: unit::Timestamp) -> f64 {
+        let (delay, at) = self.delay;
+        let elapsed = now.since(at).0 as f64;
+        delay * (-elapsed / DELAY_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
+    }
+
     pub(super) fn name(&self) -> &name::UpstreamName {
         &self.entry.name
     }
@@ -105,7 +131,13 @@
         };
         let lacking = work.memory().saturating_sub(self.free(timing.memory()));
         let memory_ms = if lacking.0 > 0 { FULL_MS } else { 0.0 };
-        present + self.backlog(now) + pass + timing.read_ms(work.prompt) + waiting + memory_ms
+        present
+            + self.delay_ms(now)
+            + self.backlog(now)
+            + pass
+            + timing.read_ms(work.prompt)
+            + waiting
+            + memory_ms
     }
 
     /// Adds reading.
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -28,6 +28,8 @@
     RunOnce(Vec<Update>),
     /// Asks the planner for a plan.
     Plan(Demand),
+    /// Tells that the answer under a plan has begun.
+    Begun(PoolName, RequestId),
     /// Ends a plan.
     Settle(Settlement),
     /// Asks for the catalog if it is newer.
@@ -48,6 +50,7 @@
             Request::Tables(_) => "tables",
             Request::RunOnce(_) => "run_once",
             Request::Plan(_) => "plan",
+            Request::Begun(..) => "begun",
             Request::Settle(_) => "settle",
             Request::Catalog(_) => "catalog",
         }
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -4,10 +4,11 @@
 //! hashes to. One that does not answer at once costs a few milliseconds: the next one is asked,
 //! and in the end the own instance plans with what it knows.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use limpetkeel::{
-    Contact, Demand, Error, Millis, Plan, Planner, Settlement, UpstreamName, Verdict,
+    Contact, Demand, Error, Millis, Plan, Planner, PoolName, RequestId, Settlement, UpstreamName,
+    Verdict,
 };
 
 use crate::{
@@ -19,8 +20,8 @@
 /// objective, and ten round trips between zones.
 const PLAN_TIMEOUT: time::Duration = time::Duration::from_millis(30);
 
-/// A settlement that is not taken within this time is lost; the plan then lapses by itself.
-const SETTLE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// A note that is not taken within this time is lost; the plan then lapses by itself.
+const NOTE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Where a plan came from.
 enum Origin {
@@ -38,9 +39,20 @@
 }
 
 impl Held {
-    /// Records that the answer has begun.
+    /// Records that the answer has begun, and tells the planner.
     pub fn begin(&mut self) {
         self.settlement.begun = true;
+        let (pool, id) = (self.settlement.pool.clone(), self.settlement.id);
+        match &self.origin {
+            Origin::Own => {
+                // A note that finds no room is made up for by the next one.
+                self.shared.jobs.submit(jobs::Job::Begun(pool, id));
+            }
+            Origin::Peer(planner) => {
+                let note = message::Request::Begun(pool, id);
+                tell(&self.shared, planner.address, note);
+            }
+        }
     }
 
     /// Records how an upstream of the plan fared.
@@ -60,19 +72,23 @@
                 }
             }
             Origin::Peer(planner) => {
-                let (shared, address) = (self.shared.clone(), planner.address);
-                tokio::spawn(async move {
-                    let req = message::Request::Settle(settlement);
-                    let told = shared.peers.call(address, &req, SETTLE_TIMEOUT).await;
-                    if let Err(e) = told {
-                        tracing::debug!(event = "settlement_lost", error = %e);
-                    }
-                });
+                let note = message::Request::Settle(settlement);
+                tell(&self.shared, planner.address, note);
             }
         }
     }
 }
 
+/// Sends a note to a planner without waiting for it.
+fn tell(shared: &sync::Arc<shared::Shared>, address: net::SocketAddr, note: message::Request) {
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        if let Err(e) = shared.peers.call(address, &note, NOTE_TIMEOUT).await {
+            tracing::debug!(event = "note_lost", kind = note.kind(), error = %e);
+        }
+    });
+}
+
 /// Gets a plan.
 ///
 /// # Errors
@@ -166,6 +182,14 @@
     planner.plan(now, demand)
 }
 
+/// Takes in that the answer under a plan of the own planner has begun.
+pub fn begun_here(shared: &shared::Shared, pool: &PoolName, id: RequestId) {
+    let now = shared.clock.now();
+    if let Some(planner) = shared.planners.lock().get_mut(pool) {
+        planner.begun(now, id);
+    }
+}
+
 /// Takes in the end of a plan of the own planner.
 pub fn settle_here(shared: &shared::Shared, settlement: &Settlement) {
     let now = shared.clock.now();
