Let the lane take the engines with the fewest streams

Cause: the lane grew in a fixed order, onto engines with streams that its reading then delayed. It takes the engine with the fewest streams, early in the order where that is equal, and gives back the one with the least to read.

--- a/limpetkeel/src/planner/lane.rs
+++ b/limpetkeel/src/planner/lane.rs
@@ -27,10 +27,13 @@
 /// The part of the engines that is always in the lane, so that a burst finds free readers.
 const LEAST_SHARE: f64 = 0.15;
 
+/// What a place later in the order weighs against a short stream, when the lane takes an engine.
+const RANK_WEIGHT: f64 = 0.1;
+
 #[derive(Debug, Default)]
 pub(super) struct Lane {
     order: Vec<name::UpstreamName>,
-    size: usize,
+    members: collections::BTreeSet<name::UpstreamName>,
     demand: f64,
     noted: unit::Timestamp,
     shrunk: unit::Timestamp,
@@ -54,11 +57,13 @@
         }
         ranked.sort();
         self.order = ranked.into_iter().map(|(_, _, name)| name).collect();
+        let order = &self.order;
+        self.members.retain(|name| order.contains(name));
     }
 
     /// Tells whether an upstream is in the lane.
     pub(super) fn holds(&self, name: &name::UpstreamName) -> bool {
-        self.order.iter().take(self.size).any(|held| held == name)
+        self.members.contains(name)
     }
 
     /// Counts the reading of a long prompt.
@@ -83,9 +88,8 @@
         self.forget(now);
         let all = self.order.len();
         let backlog: f64 = self
-            .order
+            .members
             .iter()
-            .take(self.size)
             .filter_map(|name| upstreams.get(name))
             .map(|upstream| upstream.backlog(now))
             .sum();
@@ -96,11 +100,54 @@
         let least = ((all as f64 * LEAST_SHARE).ceil() as usize).min(most);
         let wanted = (self.demand * HEADROOM + backlog / BACKLOG_MS).ceil() as usize;
         let target = wanted.clamp(least, most.max(least));
-        if target >= self.size {
-            self.size = target;
-        } else if now.since(self.shrunk) >= SHRINK_INTERVAL {
-            self.size -= 1;
+        while self.members.len() < target {
+            let Some(name) = self.next_member(upstreams) else {
+                return;
+            };
+            self.members.insert(name);
+        }
+        if self.members.len() > target && now.since(self.shrunk) >= SHRINK_INTERVAL {
             self.shrunk = now;
+            self.give_back(now, upstreams);
+        }
+    }
+
+    /// Returns the engine that joins next: the one whose streams suffer least, early in the order
+    /// where that is equal, so that planners that know little choose alike.
+    fn next_member(
+        &self,
+        upstreams: &collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
+    ) -> Option<name::UpstreamName> {
+        let ranked = self.order.iter().enumerate();
+        let free = ranked.filter(|(_, name)| !self.members.contains(*name));
+        let cost = |rank: usize, name: &name::UpstreamName| {
+            let streams = upstreams.get(name).map_or(0, upstream::Upstream::streams);
+            streams as f64 + rank as f64 * RANK_WEIGHT
+        };
+        free.min_by(|(a, x), (b, y)| cost(*a, x).total_cmp(&cost(*b, y)))
+            .map(|(_, name)| name.clone())
+    }
+
+    /// Gives back the engine that has least to read, unless all are busy.
+    fn give_back(
+        &mut self,
+        now: unit::Timestamp,
+        upstreams: &collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
+    ) {
+        let backlog = |name: &name::UpstreamName| {
+            upstreams
+                .get(name)
+                .map_or(0.0, |upstream| upstream.backlog(now))
+        };
+        let idlest = self
+            .order
+            .iter()
+            .rev()
+            .filter(|name| self.members.contains(*name))
+            .min_by(|a, b| backlog(a).total_cmp(&backlog(b)))
+            .cloned();
+        if let Some(idlest) = idlest {
+            self.members.remove(&idlest);
         }
     }
 }
