Hand held plans to the planner that answered last

Cause: a planner that took over knew nothing of the streams that others had planned, and put long prompts on their engines. Instances hand their plans over within 200 ms and give them back to the former planner. An engine that refuses for lack of room where the ledger saw room is avoided longer.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -93,7 +93,7 @@
     Fencing, Held as HeldLease, KEEPER_SETTLE, LEASE_LIFETIME, LONGEST_ORDER, LONGEST_PAUSE, Lease,
     Tenure, Waiting as WaitingLease,
 };
-pub use plan::{Demand, Helper, Plan, Settlement, Verdict};
+pub use plan::{Assertion, Demand, Helper, Plan, Settlement, Verdict};
 pub use planner::Planner;
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -74,3 +74,18 @@
     /// Whether the answer began, so that the prompt was read.
     pub begun: bool,
 }
+
+/// A plan that an instance holds, for a planner that did not make it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Assertion {
+    /// The pool.
+    pub pool: name::PoolName,
+    /// The plan.
+    pub plan: Plan,
+    /// The size of the request.
+    pub work: work::Work,
+    /// The time that is left to the request.
+    pub remaining: unit::Millis,
+    /// Whether the answer has begun, so that the prompt was read.
+    pub begun: bool,
+}
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -377,6 +377,54 @@
 
 /// Progress and ends.
 impl Planner {
+    /// Enters a plan that another planner made.
+    pub fn assert(&mut self, now: unit::Timestamp, assertion: &plan::Assertion) {
+        let plan = &assertion.plan;
+        if self.plans.contains_key(&plan.id) {
+            return;
+        }
+        let parts = plan.helpers.len() + 1;
+        let prompt = assertion.work.prompt;
+        let part_ms = self.timing.map_or(0.0, |t| t.part_ms(prompt, parts));
+        let mut reserved = unit::Tokens::ZERO;
+        let places = plan.helpers.iter().map(|helper| &helper.place);
+        let parts: Vec<_> = places
+            .chain([&plan.lead])
+            .map(|place| place.upstream.clone())
+            .collect();
+        for helper in &plan.helpers {
+            let reserve = helper.reserve.unwrap_or(unit::Tokens::ZERO);
+            reserved += reserve;
+            if let Some(upstream) = self.upstreams.get_mut(&helper.place.upstream) {
+                upstream.reserve(plan.id, reserve);
+            }
+        }
+        if let Some(upstream) = self.upstreams.get_mut(&plan.lead.upstream) {
+            let length = if parts.len() > 1 {
+                upstream::Length::Long
+            } else {
+                upstream::Length::Short
+            };
+            let memory = assertion.work.memory().saturating_sub(reserved);
+            upstream.write(plan.id, memory, length);
+        }
+        if !assertion.begun {
+            for name in &parts {
+                if let Some(upstream) = self.upstreams.get_mut(name) {
+                    upstream.read(now, part_ms);
+                }
+            }
+        }
+        let ledger = Ledger {
+            parts,
+            part_ms,
+            planned: now,
+            estimate: plan.estimate,
+            lapses: now.after(assertion.remaining + LAPSE_GRACE),
+        };
+        self.plans.insert(plan.id, ledger);
+    }
+
     /// Takes in that the answer under a plan has begun.
     ///
     /// An engine that took longer than planned has work of which this planner does not know, or
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -16,6 +16,10 @@
 /// The weight of one answer in the failure rate.
 const WEIGHT: f64 = 0.25;
 
+/// The weight of a refusal for lack of room: the ledger saw room, so the upstream is leaving or
+/// has work that nobody here knows of.
+const FULL_WEIGHT: f64 = 0.75;
+
 /// One report: who saw which upstream.
 #[derive(Clone, Copy)]
 pub(super) struct Seen<'a> {
@@ -46,9 +50,12 @@
                 self.missed.remove(&pair);
             }
         }
-        let failed = matches!(verdict, plan::Verdict::Failed | plan::Verdict::Full);
         let rate = self.failure_rate(now, seen.upstream);
-        let rate = rate + (f64::from(u8::from(failed)) - rate) * WEIGHT;
+        let rate = match verdict {
+            plan::Verdict::Full => rate + (1.0 - rate) * FULL_WEIGHT,
+            plan::Verdict::Failed => rate + (1.0 - rate) * WEIGHT,
+            _ => rate - rate * WEIGHT,
+        };
         self.rates.insert(seen.upstream.clone(), (rate, now));
     }
 
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -1,8 +1,9 @@
 //! The messages between peers.
 
 use limpetkeel::{
-    Applied, Ask, Catalog as RelayCatalog, Contact, Declarations, Demand, Digest, DirectoryEntry,
-    Grant, Held, Plan, PoolName, RequestId, Revision, Settlement, Update, UpstreamName, Usage,
+    Applied, Ask, Assertion, Catalog as RelayCatalog, Contact, Declarations, Demand, Digest,
+    DirectoryEntry, Grant, Held, Plan, PoolName, RequestId, Revision, Settlement, Update,
+    UpstreamName, Usage,
 };
 
 /// A message that asks for an answer.
@@ -28,6 +29,8 @@
     RunOnce(Vec<Update>),
     /// Asks the planner for a plan.
     Plan(Demand),
+    /// Hands plans of another planner over.
+    AssertPlans(Vec<Assertion>),
     /// Tells that the answer under a plan has begun.
     Begun(PoolName, RequestId),
     /// Ends a plan.
@@ -50,6 +53,7 @@
             Request::Tables(_) => "tables",
             Request::RunOnce(_) => "run_once",
             Request::Plan(_) => "plan",
+            Request::AssertPlans(_) => "assert_plans",
             Request::Begun(..) => "begun",
             Request::Settle(_) => "settle",
             Request::Catalog(_) => "catalog",
--- a/limpetkeeld/src/relay/answers.rs
+++ b/limpetkeeld/src/relay/answers.rs
@@ -31,6 +31,10 @@
                 }
                 message::Response::Planned(self.shared.jobs.plan(demand).await)
             }
+            message::Request::AssertPlans(assertions) => {
+                self.shared.jobs.submit(jobs::Job::Assert(assertions));
+                message::Response::Done
+            }
             message::Request::Begun(pool, id) => {
                 self.shared.jobs.submit(jobs::Job::Begun(pool, id));
                 message::Response::Done
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -10,7 +10,8 @@
 use crate::{
     listener, metrics, peer,
     relay::{
-        answers, body, follow, front, jobs, leave, port, register, reload, settings, shared, worker,
+        answers, body, follow, front, jobs, leave, planning, port, register, reload, settings,
+        shared, worker,
     },
 };
 
@@ -63,6 +64,7 @@
     tokio::spawn(follow::run(shared.clone()));
     tokio::spawn(follow::run_peers(shared.clone()));
     tokio::spawn(follow::run_sweep(shared.clone()));
+    tokio::spawn(planning::run_asserts(shared.clone()));
     let registration = tokio::spawn(register::run(shared.clone()));
     tracing::info!(
         event = "started",
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -30,14 +30,14 @@
 
 impl InProgress {
     fn enter(shared: &sync::Arc<shared::Shared>) -> InProgress {
-        *shared.in_progress.lock() += 1;
+        shared.requests.lock().in_progress += 1;
         InProgress(shared.clone())
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        *self.0.in_progress.lock() -= 1;
+        self.0.requests.lock().in_progress -= 1;
     }
 }
 
--- a/limpetkeeld/src/relay/jobs.rs
+++ b/limpetkeeld/src/relay/jobs.rs
@@ -1,6 +1,6 @@
 //! The queue of decisions.
 
-use limpetkeel::{Catalog, Demand, Plan, PoolName, RequestId, Settlement};
+use limpetkeel::{Assertion, Catalog, Demand, Plan, PoolName, RequestId, Settlement};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::relay::port;
@@ -26,6 +26,8 @@
         /// Where the decision goes.
         reply: oneshot::Sender<limpetkeel::Result<Plan>>,
     },
+    /// Takes in plans that another planner made.
+    Assert(Vec<Assertion>),
     /// Takes in that the answer under a plan has begun.
     Begun(PoolName, RequestId),
     /// Takes in the end of a plan.
--- a/limpetkeeld/src/relay/leave.rs
+++ b/limpetkeeld/src/relay/leave.rs
@@ -38,10 +38,10 @@
     tracing::info!(event = "leaving", instance = %shared.settings.instance);
     tokio::time::sleep(ACCEPT_GRACE).await;
     shared.closing.cancel();
-    while *shared.in_progress.lock() > 0 && tokio::time::Instant::now() < end {
+    while shared.requests.lock().in_progress > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
-    let left = *shared.in_progress.lock();
+    let left = shared.requests.lock().in_progress;
     tokio::time::sleep(FLUSH).await;
     tracing::info!(event = "stopped", instance = %shared.settings.instance, in_progress = left);
     Ok(())
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -4,11 +4,11 @@
 //! hashes to. One that does not answer at once costs a few milliseconds: the next one is asked,
 //! and in the end the own instance plans with what it knows.
 
-use std::{net, sync, time};
+use std::{collections, net, sync, time};
 
 use limpetkeel::{
-    Contact, Demand, Error, Millis, Plan, Planner, PoolName, RequestId, Settlement, UpstreamName,
-    Verdict,
+    Assertion, Contact, Demand, Error, Plan, Planner, PoolName, RequestId, Settlement,
+    UpstreamName, Verdict,
 };
 
 use crate::{
@@ -23,18 +23,12 @@
 /// A note that is not taken within this time is lost; the plan then lapses by itself.
 const NOTE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Where a plan came from.
-enum Origin {
-    /// The own planner.
-    Own,
-    /// Another instance's planner.
-    Peer(Contact),
-}
+/// The time between two looks at whether held plans have another planner by now.
+const ASSERT_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 /// A plan that is settled when it is dropped.
 pub struct Held {
     shared: sync::Arc<shared::Shared>,
-    origin: Origin,
     settlement: Settlement,
 }
 
@@ -43,12 +37,19 @@
     pub fn begin(&mut self) {
         self.settlement.begun = true;
         let (pool, id) = (self.settlement.pool.clone(), self.settlement.id);
-        match &self.origin {
-            Origin::Own => {
+        let planner = {
+            let mut requests = self.shared.requests.lock();
+            requests.plans.get_mut(&id).and_then(|held| {
+                held.assertion.begun = true;
+                held.planner.clone()
+            })
+        };
+        match planner {
+            None => {
                 // A note that finds no room is made up for by the next one.
                 self.shared.jobs.submit(jobs::Job::Begun(pool, id));
             }
-            Origin::Peer(planner) => {
+            Some(planner) => {
                 let note = message::Request::Begun(pool, id);
                 tell(&self.shared, planner.address, note);
             }
@@ -65,13 +66,14 @@
 impl Drop for Held {
     fn drop(&mut self) {
         let settlement = self.settlement.clone();
-        match &self.origin {
-            Origin::Own => {
+        let held = self.shared.requests.lock().plans.remove(&settlement.id);
+        match held.and_then(|held| held.planner) {
+            None => {
                 if !self.shared.jobs.submit(jobs::Job::Settle(settlement)) {
                     tracing::warn!(event = "settlement_dropped", plan = %self.settlement.id);
                 }
             }
-            Origin::Peer(planner) => {
+            Some(planner) => {
                 let note = message::Request::Settle(settlement);
                 tell(&self.shared, planner.address, note);
             }
@@ -99,14 +101,28 @@
     demand: &Demand,
 ) -> limpetkeel::Result<(Plan, Held)> {
     let started = time::Instant::now();
-    let (plan, origin) = ask(shared, demand).await?;
+    let (plan, planner) = ask(shared, demand).await?;
     let relay = &shared.metrics.relay;
     relay.plan_seconds.observe(started.elapsed().as_secs_f64());
-    let planner = match &origin {
-        Origin::Own => "own",
-        Origin::Peer(_) => "peer",
+    let label = if planner.is_some() { "peer" } else { "own" };
+    relay.plans.with_label_values(&[label]).inc();
+    let now = shared.clock.now();
+    let held = shared::HeldPlan {
+        assertion: Assertion {
+            pool: demand.pool.clone(),
+            plan: plan.clone(),
+            work: demand.work,
+            remaining: demand.remaining,
+            begun: false,
+        },
+        deadline: now.after(demand.remaining),
+        planner: planner.clone(),
     };
-    relay.plans.with_label_values(&[planner]).inc();
+    let answered = planner.unwrap_or_else(|| own(shared));
+    let mut requests = shared.requests.lock();
+    requests.plans.insert(plan.id, held);
+    requests.answered.insert(demand.pool.clone(), answered);
+    drop(requests);
     let settlement = Settlement {
         pool: demand.pool.clone(),
         id: plan.id,
@@ -117,16 +133,19 @@
     };
     let held = Held {
         shared: shared.clone(),
-        origin,
         settlement,
     };
     Ok((plan, held))
 }
 
+fn own(shared: &shared::Shared) -> Contact {
+    shared.membership.lock().roll.own().clone()
+}
+
 async fn ask(
     shared: &sync::Arc<shared::Shared>,
     demand: &Demand,
-) -> limpetkeel::Result<(Plan, Origin)> {
+) -> limpetkeel::Result<(Plan, Option<Contact>)> {
     let now = shared.clock.now();
     let planners = shared
         .membership
@@ -144,7 +163,7 @@
             Ok(message::Response::Planned(Err(Error::KeeperUnreachable))) => {}
             Ok(message::Response::Planned(decided)) => {
                 shared.membership.lock().roll.trust(&planner.name);
-                return decided.map(|plan| (plan, Origin::Peer(planner)));
+                return decided.map(|plan| (plan, Some(planner)));
             }
             Ok(_) | Err(_) => {}
         }
@@ -157,7 +176,103 @@
         );
     }
     let plan = shared.jobs.plan(demand.clone()).await?;
-    Ok((plan, Origin::Own))
+    Ok((plan, None))
+}
+
+/// Hands held plans over to the planners that answered last, until the process ends.
+///
+/// A planner that takes over knows nothing of what others planned; this tells it.
+pub async fn run_asserts(shared: sync::Arc<shared::Shared>) {
+    loop {
+        tokio::time::sleep(ASSERT_INTERVAL).await;
+        for (planner, assertions) in moved(&shared) {
+            if shared.is_own(&planner) {
+                shared.jobs.submit(jobs::Job::Assert(assertions));
+            } else {
+                let note = message::Request::AssertPlans(assertions);
+                tell(&shared, planner.address, note);
+            }
+        }
+    }
+}
+
+/// Moves the held plans whose planner has changed, and returns them by their new planner.
+fn moved(shared: &sync::Arc<shared::Shared>) -> Vec<(Contact, Vec<Assertion>)> {
+    let now = shared.clock.now();
+    let membership = shared.membership.lock();
+    let mut requests = shared.requests.lock();
+    let shared::Requests {
+        plans, answered, ..
+    } = &mut *requests;
+    let mut by_planner: Vec<(Contact, Vec<Assertion>)> = Vec::new();
+    for held in plans.values_mut() {
+        let Some(present) = answered.get(&held.assertion.pool) else {
+            continue;
+        };
+        let before = held.planner.as_ref().unwrap_or(membership.roll.own());
+        if before.name == present.name {
+            continue;
+        }
+        if let Some(former) = held.planner.take() {
+            let note = message::Request::Settle(unjudged(shared, &held.assertion));
+            tell(shared, former.address, note);
+        } else {
+            let settlement = unjudged(shared, &held.assertion);
+            shared.jobs.submit(jobs::Job::Settle(settlement));
+        }
+        held.planner = (!shared.is_own(present)).then(|| present.clone());
+        held.assertion.remaining = held.deadline.since(now);
+        let assertion = held.assertion.clone();
+        match by_planner.iter_mut().find(|(p, _)| p.name == present.name) {
+            Some((_, assertions)) => assertions.push(assertion),
+            None => by_planner.push((present.clone(), vec![assertion])),
+        }
+    }
+    by_planner
+}
+
+/// Returns the settlement that only gives a plan back.
+fn unjudged(shared: &shared::Shared, assertion: &Assertion) -> Settlement {
+    Settlement {
+        pool: assertion.pool.clone(),
+        id: assertion.plan.id,
+        availability_zone: shared.settings.availability_zone.clone(),
+        upstream: assertion.plan.lead.upstream.clone(),
+        verdict: Verdict::Unjudged,
+        begun: true,
+    }
+}
+
+/// Takes in plans that another planner made.
+pub fn assert_here(shared: &shared::Shared, assertions: &[Assertion]) {
+    let now = shared.clock.now();
+    let in_force = shared.in_force.lock();
+    let mut planners = shared.planners.lock();
+    for assertion in assertions {
+        planner(&in_force, &mut planners, &assertion.pool).assert(now, assertion);
+    }
+}
+
+type Planners = collections::BTreeMap<PoolName, Planner>;
+
+/// Returns the planner of a pool, current with the tables in force.
+fn planner<'a>(
+    in_force: &shared::InForce,
+    planners: &'a mut Planners,
+    pool: &PoolName,
+) -> &'a mut Planner {
+    let generation = in_force.roster.generation();
+    let planner = planners
+        .entry(pool.clone())
+        .or_insert_with(|| Planner::new(pool.clone()));
+    planner.configure(
+        in_force.ingress.timing(pool),
+        in_force.ingress.shortest_pause(),
+    );
+    if planner.is_outdated(generation) {
+        planner.set_upstreams(generation, &in_force.roster.serving(pool));
+    }
+    planner
 }
 
 /// Plans a request in the own planner.
@@ -168,18 +283,8 @@
 pub fn plan_here(shared: &shared::Shared, demand: &Demand) -> limpetkeel::Result<Plan> {
     let now = shared.clock.now();
     let in_force = shared.in_force.lock();
-    let generation = in_force.roster.generation();
-    let timing = in_force.ingress.timing(&demand.pool);
-    let pause: Option<Millis> = in_force.ingress.shortest_pause();
     let mut planners = shared.planners.lock();
-    let planner = planners
-        .entry(demand.pool.clone())
-        .or_insert_with(|| Planner::new(demand.pool.clone()));
-    planner.configure(timing, pause);
-    if planner.is_outdated(generation) {
-        planner.set_upstreams(generation, &in_force.roster.serving(&demand.pool));
-    }
-    planner.plan(now, demand)
+    planner(&in_force, &mut planners, &demand.pool).plan(now, demand)
 }
 
 /// Takes in that the answer under a plan of the own planner has begun.
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -3,8 +3,8 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    Contact, Ingress, Instance, Level, Ordered, Planner, PoolName, RetryBound, RetryWindow,
-    Revision, Roll, Roster, Stage, Timestamp,
+    Assertion, Contact, Ingress, Instance, Level, Ordered, Planner, PoolName, RequestId,
+    RetryBound, RetryWindow, Revision, Roll, Roster, Stage, Timestamp,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -54,6 +54,28 @@
     }
 }
 
+/// A plan that this instance holds, and who keeps its ledger.
+#[derive(Clone, Debug)]
+pub struct HeldPlan {
+    /// The plan and its request.
+    pub assertion: Assertion,
+    /// When the request has to end.
+    pub deadline: Timestamp,
+    /// The instance that plans it; nobody if it is the own one.
+    pub planner: Option<Contact>,
+}
+
+/// The requests that this instance answers for.
+#[derive(Debug, Default)]
+pub struct Requests {
+    /// Requests that have not ended.
+    pub in_progress: usize,
+    /// Their plans.
+    pub plans: collections::BTreeMap<RequestId, HeldPlan>,
+    /// Who planned the latest request of each pool.
+    pub answered: collections::BTreeMap<PoolName, Contact>,
+}
+
 /// Everything that workers and tasks share.
 pub struct Shared {
     /// The settings.
@@ -80,8 +102,8 @@
     pub membership: Ordered<Membership>,
     /// Locked third.
     pub planners: Ordered<collections::BTreeMap<PoolName, Planner>>,
-    /// Locked fourth: requests that have not ended.
-    pub in_progress: Ordered<usize>,
+    /// Locked fourth.
+    pub requests: Ordered<Requests>,
     /// Locked sixth, and never beside another one.
     retry_bound: Ordered<RetryBound>,
     /// Locked last.
@@ -122,7 +144,7 @@
             in_force: Ordered::new(Level::Tables, InForce::default()),
             membership: Ordered::new(Level::Members, membership),
             planners: Ordered::new(Level::Keepers, collections::BTreeMap::new()),
-            in_progress: Ordered::new(Level::Requests, 0),
+            requests: Ordered::new(Level::Requests, Requests::default()),
             retry_bound: Ordered::new(Level::RunOnce, settings.retry_bound),
             retries: Ordered::new(Level::Budgets, collections::BTreeMap::new()),
             settings,
--- a/limpetkeeld/src/relay/worker.rs
+++ b/limpetkeeld/src/relay/worker.rs
@@ -27,6 +27,7 @@
                     planning::forget(&shared, &demand, &plan);
                 }
             }
+            jobs::Job::Assert(assertions) => planning::assert_here(&shared, &assertions),
             jobs::Job::Begun(pool, id) => planning::begun_here(&shared, &pool, id),
             jobs::Job::Settle(settlement) => planning::settle_here(&shared, &settlement),
             jobs::Job::Adopt(catalog, source) => follow::adopt(&shared, catalog, source),
