Leave engines out of groups that others could not work with

A declined request counts heavily against the upstream at fault, and an engine with a failure rate of a half does not help.

--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -50,8 +50,8 @@
     Good,
     /// It could not be reached.
     Unreachable,
-    /// It declined the request for lack of room.
-    Full,
+    /// It declined the request, or another upstream could not work with it.
+    Declined,
     /// It failed, or fell silent.
     Failed,
     /// Nothing can be said: the caller left, or another upstream failed.
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -45,6 +45,10 @@
 /// What a whole failure rate adds to the estimate of an upstream, in milliseconds.
 const FAILURE_MS: f64 = 1_500.0;
 
+/// An engine whose failure rate is at least this does not help: one that cannot be reached stalls
+/// the whole request, and others can read its part.
+const SOUND_RATE: f64 = 0.5;
+
 /// What short work pays for a place in the lane, in milliseconds.
 const LANE_MS: f64 = 300.0;
 
@@ -218,6 +222,7 @@
             .candidates(now, demand)
             .filter(|upstream| self.lane.holds(upstream.name()))
             .filter(|upstream| *upstream.name() != lead.upstream)
+            .filter(|upstream| self.health.failure_rate(now, upstream.name()) < SOUND_RATE)
             .collect();
         lane.sort_by(|a, b| a.backlog(now).total_cmp(&b.backlog(now)));
         let reserved = if fits {
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -16,9 +16,9 @@
 /// The weight of one answer in the failure rate.
 const WEIGHT: f64 = 0.25;
 
-/// The weight of a refusal for lack of room: the ledger saw room, so the upstream is leaving or
+/// The weight of a declined request: the ledger saw room, so the upstream is leaving, cut off, or
 /// has work that nobody here knows of.
-const FULL_WEIGHT: f64 = 0.75;
+const DECLINED_WEIGHT: f64 = 0.75;
 
 /// One report: who saw which upstream.
 #[derive(Clone, Copy)]
@@ -52,7 +52,7 @@
         }
         let rate = self.failure_rate(now, seen.upstream);
         let rate = match verdict {
-            plan::Verdict::Full => rate + (1.0 - rate) * FULL_WEIGHT,
+            plan::Verdict::Declined => rate + (1.0 - rate) * DECLINED_WEIGHT,
             plan::Verdict::Failed => rate + (1.0 - rate) * WEIGHT,
             _ => rate - rate * WEIGHT,
         };
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -218,14 +218,9 @@
                 (lead.upstream, Verdict::Unreachable, "not_connected")
             }
             Err(attempt::Failure::Declined(at_fault)) => {
-                let verdict = if at_fault.is_some() {
-                    Verdict::Failed
-                } else {
-                    Verdict::Full
-                };
                 let blamed = at_fault.clone().unwrap_or(lead.upstream);
                 exchange = sent.declined(at_fault);
-                (blamed, verdict, "declined")
+                (blamed, Verdict::Declined, "declined")
             }
             Err(attempt::Failure::Answered(whole)) => {
                 let retry = whole.head.status.is_server_error();
@@ -320,7 +315,7 @@
     let (group, connection) = tokio::join!(reserving, connecting);
     let connection = connection.map_err(|_| (plan.lead.upstream.clone(), Verdict::Unreachable))?;
     let group = group.map_err(|e| match e {
-        reserve::Error::Refused(name) => (name, Verdict::Full),
+        reserve::Error::Refused(name) => (name, Verdict::Declined),
         reserve::Error::Unanswered(name) => (name, Verdict::Unreachable),
     })?;
     Ok((group, connection))
