--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -39,7 +39,9 @@
     pub lead: grant::Place,
     /// Engines that read parts of the prompt, those with a reservation first.
     pub helpers: Vec<Helper>,
-    /// The time to the first token that the planner expects.
+    /// How long the request waits before it is sent, behind the reading of more pressing ones.
+    pub wait: unit::Millis,
+    /// The time to the first token that the planner expects, the wait included.
     pub estimate: unit::Millis,
 }
 
