--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -39,9 +39,7 @@
     pub lead: grant::Place,
     /// Engines that read parts of the prompt, those with a reservation first.
     pub helpers: Vec<Helper>,
-    /// How long the request waits before it is sent, behind the reading of more pressing ones.
-    pub wait: unit::Millis,
-    /// The time to the first token that the planner expects, the wait included.
+    /// The time to the first token that the planner expects.
     pub estimate: unit::Millis,
 }
 
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -49,10 +49,6 @@
 /// the whole request, and others can read its part.
 const SOUND_RATE: f64 = 0.5;
 
-/// Engines read the newest prompt first. One whose objective leaves more than this beyond its
-/// estimate, in milliseconds, waits until what is being read is done.
-const KEPT_SLACK_MS: f64 = 1_000_000.0;
-
 /// What short work pays for a place in the lane, in milliseconds.
 const LANE_MS: f64 = 300.0;
 
@@ -206,7 +202,6 @@
             id: demand.id,
             lead,
             helpers: Vec::new(),
-            wait: unit::Millis::ZERO,
             estimate: unit::Millis(estimate as u64),
         })
     }
@@ -251,15 +246,11 @@
                 });
             }
         }
-        let backlog = self.mean_backlog(now, &helpers);
         let estimate = self.enter(now, timing, demand, &lead, &helpers);
-        let slack = demand.objective.first.0 as f64 - estimate - KEPT_SLACK_MS;
-        let wait = backlog.min(slack).max(0.0);
         Ok(plan::Plan {
             id: demand.id,
             lead,
             helpers,
-            wait: unit::Millis(wait as u64),
             estimate: unit::Millis(estimate as u64),
         })
     }
@@ -318,14 +309,6 @@
         Err(error::Error::NoMemory)
     }
 
-    /// Returns the reading that waits at the helpers on average, in milliseconds.
-    fn mean_backlog(&self, now: unit::Timestamp, helpers: &[plan::Helper]) -> f64 {
-        let names = helpers.iter().map(|helper| &helper.place.upstream);
-        let upstreams = names.filter_map(|name| self.upstreams.get(name));
-        let sum: f64 = upstreams.map(|upstream| upstream.backlog(now)).sum();
-        sum / helpers.len().max(1) as f64
-    }
-
     /// Enters a long prompt in the ledgers and returns when it will be read, in milliseconds.
     fn enter(
         &mut self,
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -179,7 +179,6 @@
         history.last = Some(lead.upstream.clone());
         history.helpers = plan.helpers.len();
         history.estimate = plan.estimate;
-        tokio::time::sleep(plan.wait.duration()).await;
         let placed = exchange.place(plan);
         let ready = prepare(shared, &placed).await;
         let (group, connection) = match ready {
