--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -49,9 +49,6 @@
 /// the whole request, and others can read its part.
 const SOUND_RATE: f64 = 0.5;
 
-/// The part of the shortest pause that a pass with a part of a long prompt may take.
-const PAUSE_SHARE: f64 = 0.85;
-
 /// What short work pays for a place in the lane, in milliseconds.
 const LANE_MS: f64 = 300.0;
 
@@ -228,7 +225,6 @@
             .filter(|upstream| self.health.failure_rate(now, upstream.name()) < SOUND_RATE)
             .collect();
         lane.sort_by(|a, b| a.backlog(now).total_cmp(&b.backlog(now)));
-        let sparing = self.spare_streams(now, timing, prompt, &lane);
         let reserved = if fits {
             Vec::new()
         } else {
@@ -237,7 +233,7 @@
         let parts = (timing.read_ms(prompt) / PART_MS).ceil() as usize;
         let count = parts.clamp(2, MAX_HELPERS + 1) - 1;
         let mut helpers = reserved;
-        for upstream in sparing {
+        for upstream in lane {
             if helpers.len() >= count {
                 break;
             }
@@ -313,31 +309,6 @@
         Err(error::Error::NoMemory)
     }
 
-    /// Leaves out engines whose short streams the reading would delay beyond their pause, as long
-    /// as half of the lane remains.
-    fn spare_streams<'a>(
-        &self,
-        now: unit::Timestamp,
-        timing: &engine::Timing,
-        prompt: unit::Tokens,
-        lane: &[&'a upstream::Upstream],
-    ) -> Vec<&'a upstream::Upstream> {
-        let part = timing.part_ms(prompt, lane.len() + 1);
-        let limit = self.shortest_pause.0 as f64 * PAUSE_SHARE;
-        let delays = |upstream: &&upstream::Upstream| {
-            let pass = timing.pass_ms(upstream.streams(), unit::Tokens::ZERO);
-            upstream.streams_of(upstream::Length::Short) > 0
-                && pass + upstream.backlog(now) + part > limit
-        };
-        let (delaying, sparing): (Vec<_>, Vec<_>) = lane.iter().copied().partition(delays);
-        let least = lane.len().div_ceil(2);
-        let missing = least.saturating_sub(sparing.len());
-        sparing
-            .into_iter()
-            .chain(delaying.into_iter().take(missing))
-            .collect()
-    }
-
     /// Enters a long prompt in the ledgers and returns when it will be read, in milliseconds.
     fn enter(
         &mut self,
