Keep a silent stream open until another attempt delivers

A silent stream stays open; it ends with the first event of the next attempt and goes on if no other attempt can be made. The attempt's parts have modules of their own: call, outlet, stream, budget.

--- a/limpetkeel/src/exchange.rs
+++ b/limpetkeel/src/exchange.rs
@@ -143,6 +143,15 @@
         self.into_state(Placed { plan }).0
     }
 
+    /// Goes on with an earlier attempt that was only silent; nothing is sent.
+    pub fn go_on(self, plan: plan::Plan) -> Exchange<Sent> {
+        let sent = Sent {
+            plan,
+            ran_before: true,
+        };
+        self.into_state(sent).0
+    }
+
     /// Tells whether the request may be sent again, after it was sent before.
     ///
     /// # Errors
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! A request enters at [`front`], which joins it to its route, and follows [`drive`]: [`planning`]
 //! gets a plan from the pool's planner, [`reserve`] sets memory aside for groups, and [`attempt`]
-//! makes one attempt over one connection of [`upstream`], whose events [`events`] divides.
+//! makes one attempt over one connection of [`upstream`], whose stream [`stream`] passes on.
 //! [`follow`] keeps the tables current with the store, or with a peer while the store does not
 //! answer, and [`register`] keeps the own instance listed. [`reload`] reads the
 //! settings again, and [`leave`] ends the instance.
@@ -12,6 +12,8 @@
 pub mod answers;
 pub mod attempt;
 pub mod body;
+pub mod budget;
+pub mod call;
 pub mod daemon;
 pub mod drive;
 pub mod events;
@@ -19,6 +21,7 @@
 pub mod front;
 pub mod jobs;
 pub mod leave;
+pub mod outlet;
 pub mod planning;
 pub mod port;
 pub mod register;
@@ -26,6 +29,7 @@
 pub mod reserve;
 pub mod settings;
 pub mod shared;
+pub mod stream;
 pub mod task;
 pub mod upstream;
 pub mod worker;
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -3,11 +3,13 @@
 use std::{sync, time};
 
 use limpetkeel::{
-    Demand, Error, Exchange, Final, Millis, Outcome, PlacedExchange, Plan, RequestId, Routed,
+    Demand, Error, Exchange, Final, Millis, Outcome, PlacedExchange, Plan, RequestId, Routed, Sent,
     UpstreamName, Verdict,
 };
 
-use crate::relay::{attempt, planning, port, reserve, shared, upstream};
+use crate::relay::{
+    attempt, budget, call, outlet, planning, port, reserve, shared, stream, upstream,
+};
 
 /// Connections that one request may fail to establish before it is given up.
 const MAX_UNREACHED: u32 = 5;
@@ -73,9 +75,9 @@
 /// Serves a request; the caller's reply and events go to `outlet`.
 pub async fn run(
     shared: sync::Arc<shared::Shared>,
-    call: attempt::Call,
+    call: call::Call,
     exchange: Exchange<Routed>,
-    mut outlet: attempt::Outlet,
+    mut outlet: outlet::Outlet,
 ) {
     let _in_progress = InProgress::enter(&shared);
     let deadline = shared.clock.instant(exchange.deadline());
@@ -84,7 +86,7 @@
     let serving = serve(&shared, &call, exchange, &mut outlet, &mut history);
     let ended = tokio::time::timeout_at(deadline, serving).await;
     let reply = match ended {
-        Ok(Ok(Some(whole))) => Some(attempt::Reply::Whole(whole)),
+        Ok(Ok(Some(whole))) => Some(outlet::Reply::Whole(whole)),
         Ok(Ok(None)) => None,
         Ok(Err(end)) => Some(history.refuse(end)),
         Err(_) => Some(history.refuse(End::TimeUp)),
@@ -120,12 +122,12 @@
     }
 }
 
-fn result_of(reply: Option<&attempt::Reply>) -> &'static str {
+fn result_of(reply: Option<&outlet::Reply>) -> &'static str {
     match reply {
-        None | Some(attempt::Reply::Stream(..)) => "streamed",
-        Some(attempt::Reply::Whole(_)) => "answered",
-        Some(attempt::Reply::Refusal(port::Refusal::NotRun(_))) => "not_run",
-        Some(attempt::Reply::Refusal(_)) => "failed",
+        None | Some(outlet::Reply::Stream(..)) => "streamed",
+        Some(outlet::Reply::Whole(_)) => "answered",
+        Some(outlet::Reply::Refusal(port::Refusal::NotRun(_))) => "not_run",
+        Some(outlet::Reply::Refusal(_)) => "failed",
     }
 }
 
@@ -139,21 +141,27 @@
     estimate: Millis,
     end: Option<End>,
     /// An upstream's own error, which is passed on if no better answer comes.
-    error: Option<attempt::Whole>,
+    error: Option<outlet::Whole>,
 }
 
 impl History {
+    fn plan(&mut self, plan: &Plan) {
+        self.last = Some(plan.lead.upstream.clone());
+        self.helpers = plan.helpers.len();
+        self.estimate = plan.estimate;
+    }
+
     fn note(&mut self, exchange: &Exchange<Routed>) {
         self.may_have_run = exchange.outcome() != Outcome::NotRun;
         self.sends = exchange.sends();
     }
 
-    fn refuse(&mut self, end: End) -> attempt::Reply {
+    fn refuse(&mut self, end: End) -> outlet::Reply {
         if let Some(error) = self.error.take() {
-            return attempt::Reply::Whole(error);
+            return outlet::Reply::Whole(error);
         }
         self.end = Some(end);
-        attempt::Reply::Refusal(match (self.may_have_run, end) {
+        outlet::Reply::Refusal(match (self.may_have_run, end) {
             (false, _) => port::Refusal::NotRun(COME_BACK),
             (true, End::TimeUp | End::Final(Final::OutOfTime)) => port::Refusal::TimedOut,
             (true, _) => port::Refusal::Failed,
@@ -161,94 +169,187 @@
     }
 }
 
+/// What one attempt came to.
+enum Attempted {
+    /// The request has its answer, or its caller has gone.
+    Done(Option<outlet::Whole>),
+    /// Another attempt may be made.
+    Again(Exchange<Routed>),
+}
+
 async fn serve(
     shared: &sync::Arc<shared::Shared>,
-    call: &attempt::Call,
+    call: &call::Call,
     mut exchange: Exchange<Routed>,
-    outlet: &mut attempt::Outlet,
+    outlet: &mut outlet::Outlet,
     history: &mut History,
-) -> Result<Option<attempt::Whole>, End> {
+) -> Result<Option<outlet::Whole>, End> {
+    let mut standby = None;
     let mut unreached = 0;
     loop {
-        let now = shared.clock.now();
-        if exchange.sends() > 0 {
-            exchange.may_send(now).map_err(End::Final)?;
-        }
-        let (plan, mut held) = place(shared, call, &exchange).await?;
-        let lead = plan.lead.clone();
-        history.last = Some(lead.upstream.clone());
-        history.helpers = plan.helpers.len();
-        history.estimate = plan.estimate;
-        let placed = exchange.place(plan);
-        let ready = prepare(shared, &placed).await;
-        let (group, connection) = match ready {
-            Ok(ready) => ready,
+        let placed = match next(shared, call, &exchange).await {
+            Ok((plan, held)) => (exchange.place(plan), held),
+            Err(end) => {
+                return go_on(shared, call, exchange, standby, outlet)
+                    .await
+                    .ok_or(end);
+            }
+        };
+        let (placed, mut held) = placed;
+        history.plan(placed.plan());
+        match prepare(shared, &placed).await {
+            Ok((group, connection)) => {
+                if let Err(budget::Spent) = budget::spend(shared, &placed) {
+                    let end = End::NoBudget;
+                    let exchange = placed.unreached();
+                    return go_on(shared, call, exchange, standby, outlet)
+                        .await
+                        .ok_or(end);
+                }
+                let ready = Ready {
+                    held,
+                    group,
+                    connection,
+                };
+                let sent = placed.send();
+                history.may_have_run = true;
+                history.sends = sent.sends();
+                match attempt(shared, call, sent, ready, &mut standby, outlet, history).await {
+                    Attempted::Done(whole) => return Ok(whole),
+                    Attempted::Again(again) => exchange = again,
+                }
+                history.note(&exchange);
+            }
             Err((at_fault, verdict)) => {
                 held.judge(&at_fault, verdict);
-                unreached += 1;
-                if unreached >= MAX_UNREACHED {
-                    return Err(End::Unreached);
-                }
                 count_repeat(shared, call, &at_fault, "not_connected");
                 exchange = placed.unreached();
-                continue;
-            }
-        };
-        spend(shared, &placed)?;
-        let mut sent = placed.send();
-        history.may_have_run = true;
-        history.sends = sent.sends();
-        let way = attempt::Way {
-            connection,
-            helpers: group.helpers(),
-            held: &mut held,
-        };
-        let ran = attempt::run(shared, call, &mut sent, way, outlet).await;
-        let (at_fault, verdict, reason) = match ran {
-            Ok(whole) => {
-                held.judge(&lead.upstream, Verdict::Good);
-                return Ok(whole);
-            }
-            Err(attempt::Failure::CallerGone) => {
-                shared.metrics.relay.abandoned.inc();
-                return Ok(None);
-            }
-            Err(attempt::Failure::NotConnected) => {
-                exchange = sent.declined(None);
-                (lead.upstream, Verdict::Unreachable, "not_connected")
-            }
-            Err(attempt::Failure::Declined(at_fault)) => {
-                let blamed = at_fault.clone().unwrap_or(lead.upstream);
-                exchange = sent.declined(at_fault);
-                (blamed, Verdict::Declined, "declined")
-            }
-            Err(attempt::Failure::Answered(whole)) => {
-                let retry = whole.head.status.is_server_error();
-                history.error = Some(whole);
-                if !retry {
-                    held.judge(&lead.upstream, Verdict::Good);
-                    return Ok(history.error.take());
+                unreached += 1;
+                if unreached >= MAX_UNREACHED {
+                    let end = End::Unreached;
+                    return go_on(shared, call, exchange, standby, outlet)
+                        .await
+                        .ok_or(end);
                 }
-                exchange = sent.failed();
-                (lead.upstream, Verdict::Failed, "answered_error")
             }
-            Err(attempt::Failure::Failed(cause)) => {
-                exchange = sent.failed();
-                (lead.upstream, Verdict::Failed, cause.code())
-            }
-        };
-        held.judge(&at_fault, verdict);
-        history.note(&exchange);
-        count_repeat(shared, call, &at_fault, reason);
-        if outlet.is_streaming() {
-            shared.metrics.relay.resumed.inc();
         }
     }
 }
 
+/// Gets the plan of the next attempt, if there may be one.
+async fn next(
+    shared: &sync::Arc<shared::Shared>,
+    call: &call::Call,
+    exchange: &Exchange<Routed>,
+) -> Result<(Plan, planning::Held), End> {
+    if exchange.sends() > 0 {
+        exchange.may_send(shared.clock.now()).map_err(End::Final)?;
+    }
+    place(shared, call, exchange).await
+}
+
+/// What an attempt takes.
+struct Ready {
+    held: planning::Held,
+    group: reserve::Group,
+    connection: upstream::Connection,
+}
+
+async fn attempt(
+    shared: &sync::Arc<shared::Shared>,
+    call: &call::Call,
+    mut sent: Exchange<Sent>,
+    ready: Ready,
+    standby: &mut Option<stream::Standby>,
+    outlet: &mut outlet::Outlet,
+    history: &mut History,
+) -> Attempted {
+    let mut held = ready.held;
+    let lead = sent.plan().lead.upstream.clone();
+    let way = attempt::Way {
+        connection: ready.connection,
+        helpers: ready.group.helpers(),
+        held: &mut held,
+        standby,
+    };
+    let ran = attempt::run(shared, call, &mut sent, way, outlet).await;
+    let (at_fault, verdict, reason) = match ran {
+        Ok(whole) => {
+            held.judge(&lead, Verdict::Good);
+            return Attempted::Done(whole);
+        }
+        Err(attempt::Failure::CallerGone) => {
+            shared.metrics.relay.abandoned.inc();
+            return Attempted::Done(None);
+        }
+        Err(attempt::Failure::Answered(whole)) if !whole.head.status.is_server_error() => {
+            held.judge(&lead, Verdict::Good);
+            return Attempted::Done(Some(whole));
+        }
+        Err(attempt::Failure::Answered(whole)) => {
+            history.error = Some(whole);
+            (lead, Verdict::Failed, "answered_error")
+        }
+        Err(attempt::Failure::Declined(at_fault)) => {
+            let blamed = at_fault.clone().unwrap_or(lead);
+            held.judge(&blamed, Verdict::Declined);
+            count_repeat(shared, call, &blamed, "declined");
+            return Attempted::Again(sent.declined(at_fault));
+        }
+        Err(attempt::Failure::Silent(open)) => {
+            held.judge(&lead, Verdict::Failed);
+            count_repeat(shared, call, &lead, "silent");
+            let plan = sent.plan().clone();
+            *standby = Some(stream::Standby {
+                open,
+                plan,
+                held,
+                group: ready.group,
+            });
+            return Attempted::Again(sent.failed());
+        }
+        Err(attempt::Failure::Failed(cause)) => (lead, Verdict::Failed, cause.code()),
+    };
+    held.judge(&at_fault, verdict);
+    count_repeat(shared, call, &at_fault, reason);
+    if outlet.is_streaming() {
+        shared.metrics.relay.resumed.inc();
+    }
+    Attempted::Again(sent.failed())
+}
+
+/// Goes on with a stream that was only silent, now that no other attempt is made.
+async fn go_on(
+    shared: &sync::Arc<shared::Shared>,
+    call: &call::Call,
+    exchange: Exchange<Routed>,
+    standby: Option<stream::Standby>,
+    outlet: &mut outlet::Outlet,
+) -> Option<Option<outlet::Whole>> {
+    let mut standby = standby?;
+    let mut sent = exchange.go_on(standby.plan);
+    let by = tokio::time::Instant::now();
+    let progress = stream::Progress {
+        held: &mut standby.held,
+        standby: &mut None,
+    };
+    let ran = standby
+        .open
+        .run(shared, call, &mut sent, by, progress, outlet)
+        .await;
+    match ran {
+        Ok(()) => Some(None),
+        Err(stream::Failure::CallerGone) => {
+            shared.metrics.relay.abandoned.inc();
+            Some(None)
+        }
+        Err(_) => None,
+    }
+}
+
 fn count_repeat(
     shared: &shared::Shared,
-    call: &attempt::Call,
+    call: &call::Call,
     at_fault: &UpstreamName,
     reason: &'static str,
 ) {
@@ -265,7 +366,7 @@
 /// Gets a plan, and waits a while for room.
 async fn place(
     shared: &sync::Arc<shared::Shared>,
-    call: &attempt::Call,
+    call: &call::Call,
     exchange: &Exchange<Routed>,
 ) -> Result<(Plan, planning::Held), End> {
     let objective = call.admission.route.objective();
@@ -320,21 +421,3 @@
     })?;
     Ok((group, connection))
 }
-
-/// Counts a first send, or takes a repeated one out of the budget.
-fn spend(shared: &shared::Shared, placed: &Exchange<PlacedExchange>) -> Result<(), End> {
-    let now = shared.clock.now();
-    let bound = shared.retry_bound();
-    let instances = shared.membership.lock().roll.len();
-    let mut retries = shared.retries.lock();
-    let window = retries.entry(placed.subject().pool.clone()).or_default();
-    if placed.sends() == 0 {
-        window.note_request(now, &bound);
-        return Ok(());
-    }
-    if window.spend(now, &bound, instances) {
-        Ok(())
-    } else {
-        Err(End::NoBudget)
-    }
-}
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     listener,
-    relay::{attempt, body, drive, port, shared, task},
+    relay::{body, call, drive, outlet, port, shared, task},
 };
 
 /// What callers may send before any table is known.
@@ -111,7 +111,7 @@
     parts: http::request::Parts,
     head: Result<port::CallHead, port::HeadError>,
     incoming: Incoming,
-) -> Result<(attempt::Call, Exchange<Routed>), port::Refusal> {
+) -> Result<(call::Call, Exchange<Routed>), port::Refusal> {
     let received = shared.clock.now();
     let head = head.map_err(|e| {
         count_refusal(shared, e.code(), None);
@@ -154,7 +154,7 @@
         received.after(allowed),
         head.resume_after,
     );
-    let call = attempt::Call {
+    let call = call::Call {
         head,
         parts,
         body,
@@ -191,21 +191,21 @@
 /// Drives a request in a task of its own, which ends when the caller goes.
 async fn relay(
     shared: &sync::Arc<shared::Shared>,
-    call: attempt::Call,
+    call: call::Call,
     exchange: Exchange<Routed>,
 ) -> http::Response<body::Body> {
     let id = call.head.id.clone();
     let (tx, rx) = oneshot::channel();
-    let outlet = attempt::Outlet::new(tx);
+    let outlet = outlet::Outlet::new(tx);
     let driver = task::Owned::spawn(drive::run(shared.clone(), call, exchange, outlet));
     match rx.await {
-        Ok(attempt::Reply::Whole(whole)) => {
+        Ok(outlet::Reply::Whole(whole)) => {
             http::Response::from_parts(whole.head, body::whole(whole.body))
         }
-        Ok(attempt::Reply::Stream(head, events)) => {
+        Ok(outlet::Reply::Stream(head, events)) => {
             http::Response::from_parts(head, body::streamed(events, driver))
         }
-        Ok(attempt::Reply::Refusal(refusal)) => refuse(shared, Some(&id), refusal),
+        Ok(outlet::Reply::Refusal(refusal)) => refuse(shared, Some(&id), refusal),
         Err(_) => {
             tracing::error!(event = "driver_lost", request = %id);
             refuse(shared, Some(&id), port::Refusal::Failed)
