--- /dev/null
+++ b/limpetkeel/tests/retry_window.rs
@@ -0,0 +1,70 @@
+//! The shared budget of repeated sends.
+
+use limpetkeel::{Millis, RetryBound, RetryWindow, Timestamp};
+
+const BOUND: RetryBound = RetryBound {
+    ratio: 0.2,
+    allowance: 40.0,
+    window: Millis(10_000),
+};
+
+fn spend_all(window: &mut RetryWindow, now: u64, instances: usize) -> usize {
+    (0..10_000)
+        .take_while(|_| window.spend(Timestamp(now), &BOUND, instances))
+        .count()
+}
+
+#[test]
+fn all_instances_together_stay_within_the_bound() {
+    let instances = 4;
+    let spent: usize = (0..instances)
+        .map(|_| {
+            let mut window = RetryWindow::default();
+            for at in 0..100 {
+                window.note_request(Timestamp(at * 10), &BOUND);
+            }
+            spend_all(&mut window, 1_000, instances)
+        })
+        .sum();
+    let bound = 0.2 * (100 * instances) as f64 + 40.0;
+    assert!(spent > 0);
+    assert!(spent as f64 <= bound, "{spent} of {bound}");
+}
+
+#[test]
+fn any_window_of_that_length_holds_the_bound() {
+    let mut window = RetryWindow::default();
+    let mut spent = Vec::new();
+    for at in (0..60_000).step_by(50) {
+        window.note_request(Timestamp(at), &BOUND);
+        if window.spend(Timestamp(at), &BOUND, 1) {
+            spent.push(at);
+        }
+    }
+    for from in (0..50_000).step_by(50) {
+        let inside = |at: &&u64| (from..from + 10_000).contains(*at);
+        let repeats = spent.iter().filter(inside).count();
+        // 200 requests in each window.
+        assert!(
+            repeats as f64 <= 0.2 * 200.0 + 40.0,
+            "{repeats} from {from}"
+        );
+    }
+}
+
+#[test]
+fn asking_whether_a_repeat_is_left_takes_none() {
+    let mut window = RetryWindow::default();
+    for _ in 0..1_000 {
+        assert!(window.allows(Timestamp(0), &BOUND, 1));
+    }
+    assert!(window.spend(Timestamp(0), &BOUND, 1));
+}
+
+#[test]
+fn a_spent_budget_recovers_with_time() {
+    let mut window = RetryWindow::default();
+    let first = spend_all(&mut window, 0, 1);
+    assert_eq!(spend_all(&mut window, 9_000, 1), 0);
+    assert_eq!(spend_all(&mut window, 10_001, 1), first);
+}
