Watch the store by two instances of each zone, which the others follow

Two watchers in each zone; the others wait for a watcher's changes and fall back to the store, then to any peer. Changes carry whether a deletion is in doubt, so that followers judge like their watcher.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -69,7 +69,7 @@
 pub use availability_zone::{AvailabilityZone, Reach};
 pub use baseline::{Baseline, Policy};
 pub use budget::{BodyBudget, RetryBudget};
-pub use catalog::Catalog;
+pub use catalog::{Catalog, Change as StoreChange, ChangeLog, Changes as StoreChanges};
 pub use directory::{Directory, Entry as DirectoryEntry};
 pub use engine::{Figures, Timing};
 pub use error::{Category, Error, Outcome, Result, Rule};
--- a/limpetkeel/src/roll.rs
+++ b/limpetkeel/src/roll.rs
@@ -16,6 +16,13 @@
 /// Planners that are asked before the one of the own availability zone.
 const PLANNERS: usize = 2;
 
+/// Instances of an availability zone that watch the store. Each change costs a call for each of
+/// them; with two, the loss of one leaves the zone current.
+const WATCHERS: usize = 2;
+
+/// The key by which watchers are chosen.
+const WATCH_KEY: &str = "store-watch";
+
 /// Since when, and for how long, an instance is passed over.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
@@ -129,6 +136,16 @@
             .collect()
     }
 
+    /// Returns the instances of the own availability zone that follow the store for the others of
+    /// the zone, in order.
+    pub fn watchers(&self, now: unit::Timestamp) -> Vec<member::Contact> {
+        let zone = &self.own.availability_zone;
+        let local = self.trusted(now).filter(|c| c.availability_zone == *zone);
+        let mut ranked: Vec<_> = local.collect();
+        ranked.sort_by_key(|contact| std::cmp::Reverse(weight(contact, WATCH_KEY)));
+        ranked.into_iter().take(WATCHERS).cloned().collect()
+    }
+
     /// Returns another instance that answers; `draw` is a random number.
     pub fn any(&self, now: unit::Timestamp, draw: u64) -> Option<member::Contact> {
         let others: Vec<_> = self
--- a/limpetkeel/src/roster.rs
+++ b/limpetkeel/src/roster.rs
@@ -49,7 +49,7 @@
 }
 
 /// How an entry vanished.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Removal {
     /// The store was well: the upstream is gone.
     Certain,
--- a/limpetkeeld/src/answers.rs
+++ b/limpetkeeld/src/answers.rs
@@ -68,7 +68,8 @@
             | message::Request::AssertPlans(_)
             | message::Request::Begun(..)
             | message::Request::Settle(_)
-            | message::Request::Catalog(_) => message::Response::Unsupported,
+            | message::Request::Catalog(_)
+            | message::Request::Follow(_) => message::Response::Unsupported,
         }
     }
 }
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -2,8 +2,8 @@
 
 use limpetkeel::{
     Applied, Ask, Assertion, Catalog as RelayCatalog, Contact, Declarations, Demand, Digest,
-    DirectoryEntry, Grant, Held, Plan, PoolName, RequestId, Revision, Settlement, Update,
-    UpstreamName, Usage,
+    DirectoryEntry, Grant, Held, Plan, PoolName, RequestId, Revision, Settlement, StoreChanges,
+    Update, UpstreamName, Usage,
 };
 
 /// A message that asks for an answer.
@@ -37,6 +37,8 @@
     Settle(Settlement),
     /// Asks for the catalog if it is newer.
     Catalog(Revision),
+    /// Waits for changes after a revision, or for a bounded time.
+    Follow(Revision),
 }
 
 impl Request {
@@ -56,6 +58,7 @@
             Request::AssertPlans(_) => "assert_plans",
             Request::Begun(..) => "begun",
             Request::Settle(_) => "settle",
+            Request::Follow(_) => "follow",
             Request::Catalog(_) => "catalog",
         }
     }
@@ -80,10 +83,23 @@
     Planned(limpetkeel::Result<Plan>),
     /// The catalog, if it is newer.
     Catalog(Option<RelayCatalog>),
+    /// What has changed.
+    Followed(Followed),
     /// The peer does not serve messages of this kind.
     Unsupported,
 }
 
+/// What a peer that follows the store knows beyond a revision.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub enum Followed {
+    /// The changes, perhaps none.
+    Changes(StoreChanges),
+    /// Everything, since the peer no longer has the changes.
+    Catalog(RelayCatalog),
+    /// Nothing: the store does not answer the peer.
+    Failing,
+}
+
 /// The end of a grant.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Release {
--- a/limpetkeeld/src/relay/answers.rs
+++ b/limpetkeeld/src/relay/answers.rs
@@ -46,6 +46,9 @@
             message::Request::Catalog(than) => {
                 message::Response::Catalog(follow::catalog(&self.shared, than))
             }
+            message::Request::Follow(after) => {
+                message::Response::Followed(follow::answer(&self.shared, after).await)
+            }
             _ => message::Response::Unsupported,
         }
     }
--- a/limpetkeeld/src/relay/follow.rs
+++ b/limpetkeeld/src/relay/follow.rs
@@ -1,14 +1,30 @@
-//! Keeps the tables current with the store, or with a peer while the store does not answer.
+//! Keeps the tables current.
+//!
+//! Two instances of each availability zone watch the store; the others follow one of them, so that
+//! a change costs a few calls of the store however many instances there are. An instance whose
+//! watchers fail follows the store itself, and while that does not answer either, it asks peers.
 
-use std::{sync, time};
+use std::{collections, sync, time};
 
-use limpetkeel::{Catalog, Millis, Removal, Timestamp};
+use limpetkeel::{
+    Catalog, Contact, InstanceName, Millis, Removal, StoreChange, StoreChanges, Timestamp,
+};
 
 use crate::{
-    peer::message,
+    peer::{self, message},
     relay::{jobs, port, shared},
 };
 
+/// A watcher answers after this long even without a change.
+const FOLLOW_WAIT: time::Duration = time::Duration::from_millis(700);
+
+/// A watcher that answers later than this after it should is left alone: with the wait, a frozen
+/// one is noticed well within the bound for a change to be in force.
+const FOLLOW_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
+/// A watcher that failed is left alone for this long.
+const LEFT_ALONE: Millis = Millis(4_000);
+
 /// The pause after a failed call of the store.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
@@ -26,16 +42,48 @@
 /// live: three heartbeats, and the time to write them again.
 const DOUBT: Millis = Millis(6_000);
 
-/// Follows the store until the process ends.
+/// Whom an instance follows.
+enum Leader {
+    /// The store itself.
+    Store,
+    /// A watcher of the own availability zone.
+    Watcher(Contact),
+}
+
+/// Why an instance does not hear of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// The store does not answer.
+    Store(port::StoreError),
+    /// The watcher does not answer.
+    Watcher(peer::Error),
+    /// The store does not answer the watcher.
+    WatcherFailing,
+}
+
+impl Failure {
+    fn code(self) -> &'static str {
+        match self {
+            Failure::Store(e) => e.code(),
+            Failure::Watcher(e) => e.code(),
+            Failure::WatcherFailing => "watcher_failing",
+        }
+    }
+}
+
+/// Follows the store, or a watcher that does, until the process ends.
 pub async fn run(shared: sync::Arc<shared::Shared>) {
+    // Watchers that failed are left alone for a while; then the store itself is followed.
+    let mut left_alone: collections::BTreeMap<InstanceName, Timestamp> =
+        collections::BTreeMap::new();
     let mut known = false;
     loop {
-        let followed = if known {
-            let after = shared.in_force.lock().revision;
-            count(&shared, "watch", shared.store.watch(after).await).map(jobs::Job::Apply)
-        } else {
-            count(&shared, "read", shared.store.read().await)
-                .map(|catalog| jobs::Job::Adopt(catalog, jobs::Source::Store))
+        let now = shared.clock.now();
+        left_alone.retain(|_, until| *until > now);
+        let leader = leader(&shared, now, &left_alone, known);
+        let followed = match &leader {
+            Leader::Store => follow_store(&shared, known).await.map_err(Failure::Store),
+            Leader::Watcher(watcher) => follow_watcher(&shared, watcher).await,
         };
         match followed {
             Ok(job) => {
@@ -44,20 +92,101 @@
                 let (done, adopted) = tokio::sync::oneshot::channel();
                 shared.jobs.submit_all(job).await;
                 shared.jobs.submit_all(jobs::Job::Barrier(done)).await;
+                // The workers end only with the process.
                 let _ = adopted.await;
+                shared.changed.notify_waiters();
+            }
+            Err(Failure::Store(port::StoreError::HistoryLost)) => {
+                note_doubt(&shared);
+                known = false;
             }
-            Err(e) => {
-                known &= e != port::StoreError::HistoryLost;
-                note_failure(&shared, e);
-                if e != port::StoreError::HistoryLost {
-                    let jitter = rand::random_range(0..RETRY_JITTER_MS);
-                    tokio::time::sleep(RETRY_PAUSE + time::Duration::from_millis(jitter)).await;
+            Err(failure) => {
+                if let Leader::Watcher(watcher) = leader {
+                    let until = shared.clock.now().after(LEFT_ALONE);
+                    left_alone.insert(watcher.name, until);
+                    tracing::info!(event = "watcher_left_alone", reason = failure.code());
+                    continue;
                 }
+                note_failure(&shared, failure);
+                let jitter = rand::random_range(0..RETRY_JITTER_MS);
+                tokio::time::sleep(RETRY_PAUSE + time::Duration::from_millis(jitter)).await;
             }
         }
     }
 }
 
+fn leader(
+    shared: &shared::Shared,
+    now: Timestamp,
+    left_alone: &collections::BTreeMap<InstanceName, Timestamp>,
+    known: bool,
+) -> Leader {
+    let watchers = shared.membership.lock().roll.watchers(now);
+    let own = &shared.settings.instance;
+    let watches = watchers.iter().any(|watcher| watcher.name == *own);
+    let mut others = watchers
+        .into_iter()
+        .filter(|watcher| !left_alone.contains_key(&watcher.name));
+    match others.next() {
+        Some(watcher) if known && !watches => Leader::Watcher(watcher),
+        _ => Leader::Store,
+    }
+}
+
+async fn follow_store(shared: &shared::Shared, known: bool) -> Result<jobs::Job, port::StoreError> {
+    if !known {
+        let catalog = count(shared, "read", shared.store.read().await)?;
+        return Ok(jobs::Job::Adopt(catalog, jobs::Source::Store));
+    }
+    let after = shared.in_force.lock().revision;
+    let observed = count(shared, "watch", shared.store.watch(after).await)?;
+    let removal = removal(&shared.in_force.lock(), shared.clock.now());
+    let changes = observed.changes.into_iter().map(|change| (change, removal));
+    Ok(jobs::Job::Apply(StoreChanges {
+        revision: observed.revision,
+        changes: changes.collect(),
+    }))
+}
+
+async fn follow_watcher(shared: &shared::Shared, watcher: &Contact) -> Result<jobs::Job, Failure> {
+    let after = shared.in_force.lock().revision;
+    let req = message::Request::Follow(after);
+    let timeout = FOLLOW_WAIT + FOLLOW_TIMEOUT;
+    let answer = shared.peers.call(watcher.address, &req, timeout).await;
+    match answer.map_err(Failure::Watcher)? {
+        message::Response::Followed(message::Followed::Changes(changes)) => {
+            Ok(jobs::Job::Apply(changes))
+        }
+        message::Response::Followed(message::Followed::Catalog(catalog)) => {
+            Ok(jobs::Job::Adopt(catalog, jobs::Source::Peer))
+        }
+        _ => Err(Failure::WatcherFailing),
+    }
+}
+
+/// Answers an instance that follows this one: at once if something is newer or the store does not
+/// answer, else after a bounded time.
+pub async fn answer(shared: &shared::Shared, after: limpetkeel::Revision) -> message::Followed {
+    let deadline = tokio::time::Instant::now() + FOLLOW_WAIT;
+    loop {
+        let changed = shared.changed.notified();
+        if shared.in_force.lock().failing_since.is_some() {
+            return message::Followed::Failing;
+        }
+        let late = tokio::time::Instant::now() >= deadline;
+        if late || shared.in_force.lock().revision > after {
+            break;
+        }
+        // An elapsed time is seen by the next look.
+        let _ = tokio::time::timeout_at(deadline, changed).await;
+    }
+    let in_force = shared.in_force.lock();
+    match in_force.log.since(after, in_force.revision) {
+        Some(changes) => message::Followed::Changes(changes),
+        None => message::Followed::Catalog(whole(shared, &in_force)),
+    }
+}
+
 /// Counts a call of the store and passes its result on.
 pub fn count<T>(
     shared: &shared::Shared,
@@ -78,17 +207,23 @@
     }
 }
 
-fn note_failure(shared: &shared::Shared, e: port::StoreError) {
+fn note_doubt(shared: &shared::Shared) {
+    let now = shared.clock.now();
+    let mut in_force = shared.in_force.lock();
+    in_force.doubtful_until = now.after(DOUBT);
+    tracing::info!(event = "store_history_lost", revision = %in_force.revision);
+}
+
+fn note_failure(shared: &shared::Shared, failure: Failure) {
     let now = shared.clock.now();
     let mut in_force = shared.in_force.lock();
     in_force.doubtful_until = now.after(DOUBT);
-    if e == port::StoreError::HistoryLost {
-        tracing::info!(event = "store_history_lost", revision = %in_force.revision);
-        return;
-    }
     if in_force.failing_since.is_none() {
         in_force.failing_since = Some(now);
-        tracing::warn!(event = "store_lost", error = %e, revision = %in_force.revision);
+        let reason = failure.code();
+        tracing::warn!(event = "store_lost", reason, revision = %in_force.revision);
+        drop(in_force);
+        shared.changed.notify_waiters();
     }
 }
 
@@ -144,13 +279,16 @@
     if in_force.revision <= than {
         return None;
     }
-    let instances = shared.membership.lock().roll.listed();
-    Some(Catalog {
+    Some(whole(shared, &in_force))
+}
+
+fn whole(shared: &shared::Shared, in_force: &shared::InForce) -> Catalog {
+    Catalog {
         revision: in_force.revision,
         ingress: in_force.ingress.declaration().cloned(),
         upstreams: in_force.roster.entries().cloned().collect(),
-        instances,
-    })
+        instances: shared.membership.lock().roll.listed(),
+    }
 }
 
 /// Takes in a whole catalog.
@@ -171,6 +309,7 @@
         .roster
         .replace(now, catalog.upstreams, catalog.revision, removal);
     in_force.revision = catalog.revision;
+    in_force.log.reset(catalog.revision);
     tracing::info!(
         event = "catalog_adopted",
         source = ?source,
@@ -185,11 +324,15 @@
 }
 
 /// Takes in changes.
-pub fn apply(shared: &shared::Shared, changes: port::Changes) {
+pub fn apply(shared: &shared::Shared, changes: StoreChanges) {
     let now = shared.clock.now();
     let mut in_force = shared.in_force.lock();
-    for change in changes.changes {
-        apply_one(shared, &mut in_force, now, change);
+    if changes.revision <= in_force.revision {
+        return;
+    }
+    in_force.log.append(&changes);
+    for (change, removal) in changes.changes {
+        apply_one(shared, &mut in_force, now, change, removal);
     }
     in_force.roster.sweep(now);
     in_force.revision = in_force.revision.max(changes.revision);
@@ -200,11 +343,12 @@
     shared: &shared::Shared,
     in_force: &mut shared::InForce,
     now: Timestamp,
-    change: port::Change,
+    change: StoreChange,
+    removal: Removal,
 ) {
     match change {
-        port::Change::Ingress(declaration) => adopt_ingress(in_force, declaration),
-        port::Change::Upstream(entry) => {
+        StoreChange::Ingress(declaration) => adopt_ingress(in_force, declaration),
+        StoreChange::Upstream(entry) => {
             tracing::info!(
                 event = "upstream_listed",
                 upstream = %entry.name,
@@ -214,14 +358,13 @@
             );
             in_force.roster.upsert(entry);
         }
-        port::Change::UpstreamGone(name, revision) => {
-            let removal = removal(in_force, now);
+        StoreChange::UpstreamGone(name, revision) => {
             tracing::info!(event = "upstream_unlisted", upstream = %name, removal = ?removal);
             in_force.roster.remove(now, &name, revision, removal);
         }
-        port::Change::Instance(contact) => shared.membership.lock().roll.list(contact),
-        port::Change::InstanceGone(name) => shared.membership.lock().roll.unlist(&name),
-        port::Change::Unreadable(key) => {
+        StoreChange::Instance(contact) => shared.membership.lock().roll.list(contact),
+        StoreChange::InstanceGone(name) => shared.membership.lock().roll.unlist(&name),
+        StoreChange::Unreadable(key) => {
             shared.metrics.relay.unreadable.inc();
             tracing::warn!(event = "entry_unreadable", key);
         }
--- a/limpetkeeld/src/relay/jobs.rs
+++ b/limpetkeeld/src/relay/jobs.rs
@@ -1,10 +1,8 @@
 //! The queue of decisions.
 
-use limpetkeel::{Assertion, Catalog, Demand, Plan, PoolName, RequestId, Settlement};
+use limpetkeel::{Assertion, Catalog, Demand, Plan, PoolName, RequestId, Settlement, StoreChanges};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::relay::port;
-
 /// Where a catalog comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -35,7 +33,7 @@
     /// Takes in a whole catalog.
     Adopt(Catalog, Source),
     /// Takes in changes.
-    Apply(port::Changes),
+    Apply(StoreChanges),
     /// Tells that the jobs before it were taken up.
     Barrier(oneshot::Sender<()>),
 }
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -8,8 +8,7 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use limpetkeel::{
-    Contact, IngressDeclaration, InstanceName, Millis, Revision, RosterEntry, Tokens, UpstreamName,
-    Work, WorkspaceName,
+    Contact, Millis, Revision, StoreChange, Tokens, UpstreamName, Work, WorkspaceName,
 };
 
 /// The head of a caller's request.
@@ -163,30 +162,13 @@
     fn encode_release(&self, host: net::SocketAddr, id: &ReservationId) -> http::Request<Bytes>;
 }
 
-/// One change in the store.
-#[derive(Clone, Debug)]
-pub enum Change {
-    /// A newer table of routes.
-    Ingress(sync::Arc<IngressDeclaration>),
-    /// An upstream has a new entry.
-    Upstream(RosterEntry),
-    /// An upstream's entry was deleted.
-    UpstreamGone(UpstreamName, Revision),
-    /// An instance was listed.
-    Instance(Contact),
-    /// An instance is no longer listed.
-    InstanceGone(InstanceName),
-    /// Something was written that cannot be read; it names nothing to use.
-    Unreadable(String),
-}
-
-/// Changes in their order.
+/// What a watch of the store saw.
 #[derive(Clone, Debug, Default)]
-pub struct Changes {
-    /// The revision up to which they are complete.
+pub struct Observed {
+    /// The revision up to which it is complete.
     pub revision: Revision,
-    /// The changes.
-    pub changes: Vec<Change>,
+    /// The changes in their order.
+    pub changes: Vec<StoreChange>,
 }
 
 /// Why a call of the store failed.
@@ -238,7 +220,7 @@
     fn read(&self) -> BoxFuture<'_, Result<limpetkeel::Catalog, StoreError>>;
 
     /// Waits for changes after a revision, or for a bounded time.
-    fn watch(&self, after: Revision) -> BoxFuture<'_, Result<Changes, StoreError>>;
+    fn watch(&self, after: Revision) -> BoxFuture<'_, Result<Observed, StoreError>>;
 
     /// Lists the own instance under a new lease.
     fn register<'a>(
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -3,9 +3,10 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    Assertion, Contact, Ingress, Instance, Level, Ordered, Planner, PoolName, RequestId,
+    Assertion, ChangeLog, Contact, Ingress, Instance, Level, Ordered, Planner, PoolName, RequestId,
     RetryBound, RetryWindow, Revision, Roll, Roster, Stage, Timestamp,
 };
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -22,7 +23,9 @@
     pub roster: Roster,
     /// The revision up to which all changes are in.
     pub revision: Revision,
-    /// Since when the store does not answer.
+    /// The latest changes, for instances that follow this one.
+    pub log: ChangeLog,
+    /// Since when neither the store nor a watcher answers.
     pub failing_since: Option<Timestamp>,
     /// Until when a vanished entry may have lapsed though its upstream lives.
     pub doubtful_until: Timestamp,
@@ -92,6 +95,8 @@
     pub peers: peer::client::Peers,
     /// The queue of the workers.
     pub jobs: jobs::Queue,
+    /// Tells of each new revision, and of failures to follow.
+    pub changed: Notify,
     /// Cancelled when the instance starts to leave.
     pub leaving: CancellationToken,
     /// Cancelled when no new connection is taken any more.
@@ -139,6 +144,7 @@
             peers: peer::client::Peers::new(&settings.peer_key, source, metrics.clone()),
             metrics,
             jobs,
+            changed: Notify::new(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             in_force: Ordered::new(Level::Tables, InForce::default()),
