Ask the store for signs of life while a watch waits

A watcher asks for a cheap sign of life each 500 ms and tells its followers at once when none comes. Pauses between failed calls double up to a second.

--- a/limpetkeeld/src/relay/follow.rs
+++ b/limpetkeeld/src/relay/follow.rs
@@ -25,9 +25,16 @@
 /// A watcher that failed is left alone for this long.
 const LEFT_ALONE: Millis = Millis(4_000);
 
-/// The pause after a failed call of the store.
+/// The time between two signs of life of the store while a watch waits. With the time of a call,
+/// a lost store is noticed in about half of the bound for a change to be in force.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// The pause after a failed call of the store; it doubles with each further one.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
+/// The longest pause: half of the bound within which a change has to be in force.
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+
 /// What is added to that pause at random, so that the instances do not return together.
 const RETRY_JITTER_MS: u64 = 150;
 
@@ -77,6 +84,7 @@
     let mut left_alone: collections::BTreeMap<InstanceName, Timestamp> =
         collections::BTreeMap::new();
     let mut known = false;
+    let mut pause = RETRY_PAUSE;
     loop {
         let now = shared.clock.now();
         left_alone.retain(|_, until| *until > now);
@@ -89,6 +97,7 @@
             Ok(job) => {
                 note_answer(&shared);
                 known = true;
+                pause = RETRY_PAUSE;
                 let (done, adopted) = tokio::sync::oneshot::channel();
                 shared.jobs.submit_all(job).await;
                 shared.jobs.submit_all(jobs::Job::Barrier(done)).await;
@@ -109,7 +118,8 @@
                 }
                 note_failure(&shared, failure);
                 let jitter = rand::random_range(0..RETRY_JITTER_MS);
-                tokio::time::sleep(RETRY_PAUSE + time::Duration::from_millis(jitter)).await;
+                tokio::time::sleep(pause + time::Duration::from_millis(jitter)).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
     }
@@ -139,7 +149,10 @@
         return Ok(jobs::Job::Adopt(catalog, jobs::Source::Store));
     }
     let after = shared.in_force.lock().revision;
-    let observed = count(shared, "watch", shared.store.watch(after).await)?;
+    let observed = tokio::select! {
+        observed = shared.store.watch(after) => count(shared, "watch", observed)?,
+        lost = lose(shared) => return Err(lost),
+    };
     let removal = removal(&shared.in_force.lock(), shared.clock.now());
     let changes = observed.changes.into_iter().map(|change| (change, removal));
     Ok(jobs::Job::Apply(StoreChanges {
@@ -148,6 +161,18 @@
     }))
 }
 
+/// Returns when the store gives no sign of life.
+///
+/// A waiting watch does not show that the store is lost; others rely on this instance for changes.
+async fn lose(shared: &shared::Shared) -> port::StoreError {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        if let Err(e) = count(shared, "probe", shared.store.probe().await) {
+            return e;
+        }
+    }
+}
+
 async fn follow_watcher(shared: &shared::Shared, watcher: &Contact) -> Result<jobs::Job, Failure> {
     let after = shared.in_force.lock().revision;
     let req = message::Request::Follow(after);
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -222,6 +222,9 @@
     /// Waits for changes after a revision, or for a bounded time.
     fn watch(&self, after: Revision) -> BoxFuture<'_, Result<Observed, StoreError>>;
 
+    /// Asks for a sign of life, which costs little and may return an old revision.
+    fn probe(&self) -> BoxFuture<'_, Result<Revision, StoreError>>;
+
     /// Lists the own instance under a new lease.
     fn register<'a>(
         &'a self,
