--- a/standins/src/site/node.rs
+++ b/standins/src/site/node.rs
@@ -112,7 +112,7 @@
             std::env::temp_dir().join(format!("limpetkeel-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&folder)?;
         let mut site = Site {
-            store: Store::start().await?,
+            store: Store::start(nodes.max(1)).await?,
             upstreams: Vec::new(),
             nodes: Vec::new(),
             folder,
@@ -138,7 +138,7 @@
              ready_listen = \"{ready}\"\nstatus_listen = \"{status}\"\npeer_listen = \"{peers}\"\n\
              peer_key = \"a key that all peers share\"\nstore = \"{}\"\nleave_timeout_ms = 7000\n\
              retry_ratio = 0.2\nretry_allowance = 50\nretry_window_ms = 10000\n",
-            self.store.address,
+            self.store.doors[index],
         );
         std::fs::write(&settings, text)?;
         let file = settings.to_string_lossy().into_owned();
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -37,7 +37,8 @@
     revision: u64,
     leases: collections::BTreeMap<u64, Lease>,
     next_lease: u64,
-    mood: Mood,
+    /// How the store answers at each of its doors.
+    moods: Vec<Mood>,
     calls: usize,
 }
 
@@ -98,11 +99,11 @@
     }
 }
 
-/// The store and its address.
+/// The store, with a door for each instance, so that it can turn single ones away.
 #[derive(Clone)]
 pub struct Store {
     /// Where it listens.
-    pub address: net::SocketAddr,
+    pub doors: Vec<net::SocketAddr>,
     state: sync::Arc<parking_lot::Mutex<State>>,
     changed: sync::Arc<Notify>,
 }
@@ -119,8 +120,16 @@
     /// # Errors
     ///
     /// Fails if no address can be bound.
-    pub async fn start() -> site::Result<Store> {
-        let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+    pub async fn start(doors: usize) -> site::Result<Store> {
+        let mut listeners = Vec::new();
+        for _ in 0..doors {
+            let address = (net::Ipv4Addr::LOCALHOST, 0);
+            listeners.push(tokio::net::TcpListener::bind(address).await?);
+        }
+        let addresses: std::io::Result<_> = listeners
+            .iter()
+            .map(|listener| listener.local_addr())
+            .collect();
         let state = State {
             items: collections::BTreeMap::new(),
             history: Vec::new(),
@@ -128,26 +137,28 @@
             revision: 1,
             leases: collections::BTreeMap::new(),
             next_lease: 1,
-            mood: Mood::Well,
+            moods: vec![Mood::Well; doors],
             calls: 0,
         };
         let store = Store {
-            address: listener.local_addr()?,
+            doors: addresses?,
             state: sync::Arc::new(parking_lot::Mutex::new(state)),
             changed: sync::Arc::new(Notify::new()),
         };
-        tokio::spawn(store.clone().accept(listener));
+        for (door, listener) in listeners.into_iter().enumerate() {
+            tokio::spawn(store.clone().accept(listener, door));
+        }
         tokio::spawn(store.clone().run_expiry());
         Ok(store)
     }
 
-    async fn accept(self, listener: tokio::net::TcpListener) {
+    async fn accept(self, listener: tokio::net::TcpListener, door: usize) {
         while let Ok((stream, _)) = listener.accept().await {
             let store = self.clone();
             tokio::spawn(async move {
                 let handler = service::service_fn(move |req| {
                     let store = store.clone();
-                    async move { Ok::<_, std::convert::Infallible>(store.answer(req).await) }
+                    async move { Ok::<_, std::convert::Infallible>(store.answer(req, door).await) }
                 });
                 let _ = http1::Builder::new()
                     .serve_connection(rt::TokioIo::new(stream), handler)
@@ -167,9 +178,15 @@
         }
     }
 
-    /// Changes how the store answers.
+    /// Changes how the store answers everyone.
     pub fn set_mood(&self, mood: Mood) {
-        self.state.lock().mood = mood;
+        self.state.lock().moods.fill(mood);
+        self.changed.notify_waiters();
+    }
+
+    /// Changes how the store answers at one door.
+    pub fn set_mood_at(&self, door: usize, mood: Mood) {
+        self.state.lock().moods[door] = mood;
         self.changed.notify_waiters();
     }
 
@@ -211,11 +228,11 @@
         self.state.lock().calls
     }
 
-    async fn answer(&self, req: http::Request<Incoming>) -> Answer {
+    async fn answer(&self, req: http::Request<Incoming>, door: usize) -> Answer {
         let mood = {
             let mut state = self.state.lock();
             state.calls += 1;
-            state.mood
+            state.moods[door]
         };
         match mood {
             Mood::Silent => return std::future::pending().await,
@@ -231,7 +248,7 @@
             return self.range(&query);
         }
         if path == names::WATCH_PATH {
-            return self.watch(&query).await;
+            return self.watch(&query, door).await;
         }
         if path == names::TRANSACTION_PATH {
             return self.commit(&body);
@@ -264,7 +281,7 @@
         })
     }
 
-    async fn watch(&self, query: &Query) -> Answer {
+    async fn watch(&self, query: &Query, door: usize) -> Answer {
         let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
         let after: u64 = number("after").unwrap_or(0);
         let wait = time::Duration::from_millis(number("wait_ms").unwrap_or(0));
@@ -274,8 +291,10 @@
             let changed = self.changed.notified();
             {
                 let state = self.state.lock();
-                if state.mood != Mood::Well {
-                    return status(503);
+                match state.moods[door] {
+                    Mood::Well => {}
+                    Mood::Busy => return status(503),
+                    Mood::Silent => break,
                 }
                 if after < state.dropped {
                     return status(410);
@@ -296,6 +315,7 @@
             }
             let _ = tokio::time::timeout_at(deadline, changed).await;
         }
+        std::future::pending().await
     }
 
     fn commit(&self, body: &[u8]) -> Answer {
--- a/standins/tests/relay.rs
+++ b/standins/tests/relay.rs
@@ -341,6 +341,44 @@
     }
 }
 
+/// The bound of the users for a change to be in force, and the time of a request.
+const IN_FORCE: time::Duration = time::Duration::from_millis(2_200);
+
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2)]
+#[tokio::test]
+async fn an_instance_that_the_store_turns_away_in_silence_keeps_no_other_behind(node: usize) {
+    let site = Site::start(3, 1).await.expect("site");
+    // Long enough for the others to follow their watchers.
+    tokio::time::sleep(time::Duration::from_millis(1_000)).await;
+    // All watches have just begun to wait.
+    site.store.put("servers/other", b"an entry of another writer");
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    site.store.set_mood_at(node, Mood::Silent);
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    let table = Table {
+        version: 5,
+        extra: vec!["new".to_owned()],
+        ..Table::default()
+    };
+    let published = time::Instant::now();
+    site.publish(&table).expect("table");
+    for other in (0..3).filter(|other| *other != node) {
+        node::eventually("the route is there", async || {
+            status(&site, other, "/new/x").await == 200
+        })
+        .await
+        .expect("in force");
+        assert!(published.elapsed() < IN_FORCE, "{:?}", published.elapsed());
+    }
+    node::eventually("peers tell the one that is turned away", async || {
+        status(&site, node, "/new/x").await == 200
+    })
+    .await
+    .expect("in force");
+}
+
 #[tokio::test]
 async fn without_a_table_the_answer_is_not_for_good() {
     let site = Site::start_unready(1, 0).await.expect("site");
