Explain a request from the logs of several instances

limpetkeel explain ID FILE... joins the lines of a request by time and names the line that decided its end. The relay logs each plan with its planner, estimate and wait, and the version that admitted a request; log lines that found no room are shown as a metric.

--- a/limpetkeelctl/src/main.rs
+++ b/limpetkeelctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod command;
 mod error;
+mod explain;
 mod fleet;
 mod output;
 mod tables;
@@ -22,6 +23,7 @@
   apply FILE [--wait SECONDS] Replaces both tables with the declarations, as one change;
                               with --wait, returns when every reachable instance has it in force
   status                      Shows the tables' revision and each instance
+  explain ID FILE...          Tells from the logs of instances how a relayed request ended
 
 Options:
   --platform URL   The platform; the variable LIMPETKEEL_PLATFORM by default
@@ -45,6 +47,9 @@
         println!("limpetkeel {}", env!("CARGO_PKG_VERSION"));
         return process::ExitCode::SUCCESS;
     }
+    if let Some(words) = explain_words() {
+        return explain(&words);
+    }
     let invocation = match command::Invocation::try_from(args) {
         Ok(invocation) => invocation,
         Err(e) => {
@@ -60,3 +65,25 @@
         }
     }
 }
+
+/// Returns the arguments of `explain`, which needs no platform.
+fn explain_words() -> Option<Vec<String>> {
+    let mut words = std::env::args().skip(1);
+    (words.next()? == "explain").then(|| words.collect())
+}
+
+fn explain(words: &[String]) -> process::ExitCode {
+    let explained = match words {
+        [request, files @ ..] if !files.is_empty() => explain::run(request, files),
+        _ => Err(error::Error::Usage(
+            "explain needs a request and log files".to_owned(),
+        )),
+    };
+    match explained {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("limpetkeel: {e}");
+            process::ExitCode::from(e.exit_code())
+        }
+    }
+}
--- a/limpetkeeld/src/log.rs
+++ b/limpetkeeld/src/log.rs
@@ -27,15 +27,17 @@
 /// Starts logging to standard output without ever waiting for it: a thread writes the lines, and
 /// lines that find its queue full are left out.
 ///
-/// A second call has no effect. The guard writes what waits when it is dropped.
-pub fn start_bounded(text: &str) -> non_blocking::WorkerGuard {
+/// A second call has no effect. The guard writes what waits when it is dropped; the counter tells
+/// how many lines were left out.
+pub fn start_bounded(text: &str) -> (non_blocking::WorkerGuard, non_blocking::ErrorCounter) {
     let (writer, guard) = non_blocking::NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MAX_LINES)
         .finish(std::io::stdout());
+    let left_out = writer.error_counter();
     let lines = tracing_logfmt::builder().layer().with_writer(writer);
     let _ = tracing_subscriber::registry()
         .with(lines.with_filter(filter(text)))
         .try_init();
-    guard
+    (guard, left_out)
 }
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -32,6 +32,8 @@
     pub unreadable: prometheus::IntCounter,
     /// Reservations of memory, by result.
     pub reservations: prometheus::IntCounterVec,
+    /// Log lines that were left out because their queue was full.
+    pub lines_left_out: prometheus::IntGauge,
 }
 
 impl Metrics {
@@ -94,6 +96,10 @@
                 "limpetkeel_relay_unreadable_entries_total",
                 "Entries of the store that could not be read.",
             )?,
+            lines_left_out: define.gauge(
+                "limpetkeel_log_lines_left_out",
+                "Log lines left out since the start because their queue was full.",
+            )?,
             reservations: define.counters(
                 "limpetkeel_relay_reservations_total",
                 "Reservations of engine memory, by result.",
--- a/limpetkeeld/src/relay/call.rs
+++ b/limpetkeeld/src/relay/call.rs
@@ -15,6 +15,8 @@
     pub body: Bytes,
     /// Its route and workspace.
     pub admission: Admission,
+    /// The version of the table that admitted it.
+    pub version: u64,
     /// Whether its pool has model engines.
     pub to_engine: bool,
 }
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -6,6 +6,7 @@
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
 use limpetkeel::Stage;
+use tracing_appender::non_blocking;
 
 use crate::{
     listener, metrics, peer,
@@ -38,6 +39,16 @@
 
 impl std::error::Error for Error {}
 
+/// What an instance works with that is not its own.
+pub struct Outside {
+    /// The messages of callers and upstreams.
+    pub codec: Box<dyn port::Codec>,
+    /// The platform's store.
+    pub store: Box<dyn port::Store>,
+    /// Counts the log lines that found no room.
+    pub lines_left_out: non_blocking::ErrorCounter,
+}
+
 /// Runs an instance with the settings of a file until it has left.
 ///
 /// # Errors
@@ -46,12 +57,11 @@
 pub async fn run(
     file: path::PathBuf,
     settings: settings::Settings,
-    codec: Box<dyn port::Codec>,
-    store: Box<dyn port::Store>,
+    outside: Outside,
 ) -> Result<(), Error> {
     let metrics = sync::Arc::new(metrics::Metrics::new().map_err(Error::Metrics)?);
     let (queue, rx) = jobs::Queue::new();
-    let shared = shared::Shared::new(settings, metrics, codec, store, queue);
+    let shared = shared::Shared::new(settings, metrics, outside.codec, outside.store, queue);
     let shared = sync::Arc::new(shared);
     worker::start(&shared, rx);
     let ready = listener::listen(shared.settings.ready_listen)
@@ -59,7 +69,8 @@
     tokio::spawn(serve_status(shared.clone(), ready, Page::Ready));
     let status = listener::listen(shared.settings.status_listen)
         .map_err(|e| Error::Listen(shared.settings.status_listen, e))?;
-    tokio::spawn(serve_status(shared.clone(), status, Page::Metrics));
+    let metrics = Page::Metrics(outside.lines_left_out);
+    tokio::spawn(serve_status(shared.clone(), status, metrics));
     tokio::spawn(listen_to_peers(shared.clone()));
     tokio::spawn(follow::run(shared.clone()));
     tokio::spawn(follow::run_peers(shared.clone()));
@@ -96,12 +107,12 @@
 }
 
 /// What an address for operators answers.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 enum Page {
     /// Whether balancers should send connections.
     Ready,
-    /// The metrics.
-    Metrics,
+    /// The metrics, with the log lines that were left out.
+    Metrics(non_blocking::ErrorCounter),
 }
 
 async fn serve_status(
@@ -117,10 +128,10 @@
                 continue;
             }
         };
-        let shared = shared.clone();
+        let (shared, page) = (shared.clone(), page.clone());
         tokio::spawn(async move {
             let handler = service::service_fn(move |_: http::Request<Incoming>| {
-                let res = status(&shared, page);
+                let res = status(&shared, &page);
                 async move { Ok::<_, convert::Infallible>(res) }
             });
             let _ = http1::Builder::new()
@@ -130,9 +141,13 @@
     }
 }
 
-fn status(shared: &shared::Shared, page: Page) -> http::Response<body::Body> {
+fn status(shared: &shared::Shared, page: &Page) -> http::Response<body::Body> {
     let (code, text) = match page {
-        Page::Metrics => (http::StatusCode::OK, shared.metrics.render()),
+        Page::Metrics(left_out) => {
+            let left_out = left_out.dropped_lines() as i64;
+            shared.metrics.relay.lines_left_out.set(left_out);
+            (http::StatusCode::OK, shared.metrics.render())
+        }
         Page::Ready => {
             let membership = shared.membership.lock();
             if membership.stage().is_some_and(Stage::is_ready) {
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -97,6 +97,7 @@
         event = "request_ended",
         request = %call.head.id,
         route = %call.admission.route.name(),
+        version = call.version,
         prompt_tokens = call.head.work.prompt.0,
         result,
         reason = history.end.map_or("", End::code),
@@ -383,7 +384,7 @@
             remaining: exchange.deadline().since(now),
             avoid: exchange.tried().to_vec(),
         };
-        let refusal = match planning::obtain(shared, &demand).await {
+        let refusal = match planning::obtain(shared, &demand, &call.head.id).await {
             Ok(planned) => return Ok(planned),
             Err(e) => e,
         };
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -118,10 +118,11 @@
         port::Refusal::BadHead
     })?;
     let path = parts.uri.path();
-    let (admitted, limits) = {
+    let (admitted, limits, version) = {
         let ingress = &shared.in_force.lock().ingress;
         let admitted = ingress.admit(&head.host, path, head.key.as_deref());
-        (admitted, ingress.limits().unwrap_or(DEFAULT_LIMITS))
+        let limits = ingress.limits().unwrap_or(DEFAULT_LIMITS);
+        (admitted, limits, ingress.version())
     };
     let admission = admitted.map_err(|denial| {
         let (code, refusal) = match denial {
@@ -159,6 +160,7 @@
         parts,
         body,
         admission,
+        version,
         to_engine,
     };
     Ok((call, exchange))
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -91,7 +91,7 @@
     });
 }
 
-/// Gets a plan.
+/// Gets a plan for a request, which logs name by its caller's identity.
 ///
 /// # Errors
 ///
@@ -99,13 +99,28 @@
 pub async fn obtain(
     shared: &sync::Arc<shared::Shared>,
     demand: &Demand,
+    request: &str,
 ) -> limpetkeel::Result<(Plan, Held)> {
     let started = time::Instant::now();
-    let (plan, planner) = ask(shared, demand).await?;
+    let (plan, planner) = ask(shared, demand, request).await?;
     let relay = &shared.metrics.relay;
     relay.plan_seconds.observe(started.elapsed().as_secs_f64());
     let label = if planner.is_some() { "peer" } else { "own" };
     relay.plans.with_label_values(&[label]).inc();
+    let by = planner.as_ref().map_or("own", |p| p.name.as_str());
+    let waited_ms = started.elapsed().as_millis() as u64;
+    tracing::info!(
+        event = "planned",
+        request,
+        plan = %plan.id,
+        planner = by,
+        waited_ms,
+        lead = %plan.lead.upstream,
+        helpers = plan.helpers.len(),
+        estimate_ms = plan.estimate.0,
+        remaining_ms = demand.remaining.0,
+        avoided = demand.avoid.len(),
+    );
     let now = shared.clock.now();
     let held = shared::HeldPlan {
         assertion: Assertion {
@@ -145,6 +160,7 @@
 async fn ask(
     shared: &sync::Arc<shared::Shared>,
     demand: &Demand,
+    request: &str,
 ) -> limpetkeel::Result<(Plan, Option<Contact>)> {
     let now = shared.clock.now();
     let planners = shared
@@ -172,7 +188,7 @@
             event = "planner_passed_over",
             planner = %planner.name,
             pool = %demand.pool,
-            request = %demand.id,
+            request,
         );
     }
     let plan = shared.jobs.plan(demand.clone()).await?;
--- a/standins/tests/relay.rs
+++ b/standins/tests/relay.rs
@@ -353,7 +353,8 @@
     // Long enough for the others to follow their watchers.
     tokio::time::sleep(time::Duration::from_millis(1_000)).await;
     // All watches have just begun to wait.
-    site.store.put("servers/other", b"an entry of another writer");
+    site.store
+        .put("servers/other", b"an entry of another writer");
     tokio::time::sleep(time::Duration::from_millis(100)).await;
     site.store.set_mood_at(node, Mood::Silent);
     tokio::time::sleep(time::Duration::from_millis(100)).await;
