Refuse as hopeless by time only

The choice and the estimate are apart now. The test failed before (WouldMissDeadline for idle upstreams that had declined) and passes.

--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -184,11 +184,12 @@
                 + if in_lane { LANE_MS } else { 0.0 }
                 + if leads { LEAD_MS } else { 0.0 }
         };
-        let (estimate, lead) = self
+        let lead = self
             .candidates(now, demand)
-            .map(|upstream| (cost(upstream), upstream))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)))
             .ok_or_else(|| error::Error::NoUpstream(self.pool.clone()))?;
+        // What speaks against an upstream takes no time.
+        let estimate = lead.estimate(now, timing, demand.work);
         if estimate > demand.remaining.0 as f64 * HOPELESS_SHARE {
             return Err(error::Error::WouldMissDeadline);
         }
--- a/limpetkeel/tests/planner.rs
+++ b/limpetkeel/tests/planner.rs
@@ -215,6 +215,24 @@
     }
 }
 
+#[test]
+fn failures_alone_make_no_request_hopeless() {
+    let mut planner = Planner::new("p".try_into().expect("name"));
+    planner.set_upstreams(1, &[entry(0), entry(1)]);
+    let soon = |id| Demand {
+        remaining: Millis(1_000),
+        work: Work::default(),
+        ..demand(id, 0)
+    };
+    for id in 0..40 {
+        let planned = planner.plan(Timestamp(0), &soon(id));
+        let plan = planned.expect("idle upstreams may have recovered");
+        assert!(plan.estimate < Millis(500), "{}", plan.estimate);
+        let lead = plan.lead.upstream.clone();
+        settle(&mut planner, 0, &plan, lead.as_str(), Verdict::Declined);
+    }
+}
+
 #[test]
 fn a_zone_whose_upstreams_are_not_reached_is_left_out_from_there_only() {
     let mut planner = planner(9);
