--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -57,7 +57,7 @@
 const LEAD_MS: f64 = 80.0;
 
 /// What a long prompt pays for each short stream that its part delays, in milliseconds.
-const DISTURBED_MS: f64 = 60.0;
+const DISTURBED_MS: f64 = 150.0;
 
 #[derive(Debug)]
 struct Ledger {
