--- a/limpetkeeld/src/relay/answers.rs
+++ b/limpetkeeld/src/relay/answers.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     peer::{message, server},
-    relay::{follow, jobs, shared},
+    relay::{adopt, follow, jobs, shared},
 };
 
 /// Answers peers from the shared tables.
@@ -44,7 +44,7 @@
                 message::Response::Done
             }
             message::Request::Catalog(than) => {
-                message::Response::Catalog(follow::catalog(&self.shared, than))
+                message::Response::Catalog(adopt::catalog(&self.shared, than))
             }
             message::Request::Follow(after) => {
                 message::Response::Followed(follow::answer(&self.shared, after).await)
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -3,12 +3,12 @@
 use std::{sync, time};
 
 use limpetkeel::{
-    Demand, Error, Exchange, Final, Millis, Outcome, PlacedExchange, Plan, RequestId, Routed, Sent,
-    UpstreamName, Verdict,
+    Demand, Error, Exchange, Millis, PlacedExchange, Plan, RequestId, Routed, Sent, UpstreamName,
+    Verdict,
 };
 
 use crate::relay::{
-    attempt, budget, call, outlet, planning, port, reserve, shared, stream, upstream,
+    attempt, budget, call, history, outlet, planning, reserve, shared, stream, upstream,
 };
 
 /// Connections that one request may fail to establish before it is given up.
@@ -24,9 +24,6 @@
 /// The longest wait for room.
 const LONGEST_WAIT: Millis = Millis(2_000);
 
-/// When a caller should come back that found no room.
-const COME_BACK: Millis = Millis(400);
-
 /// Counts a request as in progress while it lives.
 struct InProgress(sync::Arc<shared::Shared>);
 
@@ -43,35 +40,6 @@
     }
 }
 
-/// Why a request ends without the answer of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    /// The planner refused it.
-    NoPlan,
-    /// Upstreams were not reached too often.
-    Unreached,
-    /// It may not be sent again.
-    Final(Final),
-    /// The shared budget of repeats is spent.
-    NoBudget,
-    /// Its time is up.
-    TimeUp,
-}
-
-impl End {
-    fn code(self) -> &'static str {
-        match self {
-            End::NoPlan => "no_plan",
-            End::Unreached => "unreached",
-            End::Final(Final::MayHaveRun) => "may_have_run",
-            End::Final(Final::SendsUsed) => "sends_used",
-            End::Final(Final::OutOfTime) => "out_of_time",
-            End::NoBudget => "no_budget",
-            End::TimeUp => "time_up",
-        }
-    }
-}
-
 /// Serves a request; the caller's reply and events go to `outlet`.
 pub async fn run(
     shared: sync::Arc<shared::Shared>,
@@ -82,94 +50,21 @@
     let _in_progress = InProgress::enter(&shared);
     let deadline = shared.clock.instant(exchange.deadline());
     let received = exchange.received();
-    let mut history = History::default();
+    let mut history = history::History::default();
     let serving = serve(&shared, &call, exchange, &mut outlet, &mut history);
     let ended = tokio::time::timeout_at(deadline, serving).await;
     let reply = match ended {
         Ok(Ok(Some(whole))) => Some(outlet::Reply::Whole(whole)),
         Ok(Ok(None)) => None,
         Ok(Err(end)) => Some(history.refuse(end)),
-        Err(_) => Some(history.refuse(End::TimeUp)),
+        Err(_) => Some(history.refuse(history::End::TimeUp)),
     };
-    let result = result_of(reply.as_ref());
-    let elapsed = shared.clock.now().since(received);
-    tracing::info!(
-        event = "request_ended",
-        request = %call.head.id,
-        route = %call.admission.route.name(),
-        version = call.version,
-        prompt_tokens = call.head.work.prompt.0,
-        result,
-        reason = history.end.map_or("", End::code),
-        sends = history.sends,
-        last_upstream = history.last.as_ref().map_or("", |name| name.as_str()),
-        helpers = history.helpers,
-        estimate_ms = history.estimate.0,
-        first_ms = outlet.first().map_or(0, |at| at.since(received).0),
-        longest_pause_ms = outlet.longest_pause().0,
-        elapsed_ms = elapsed.0,
-    );
-    let form = match call.admission.route.form() {
-        limpetkeel::Form::Whole => "whole",
-        limpetkeel::Form::Stream => "stream",
-    };
-    let relay = &shared.metrics.relay;
-    relay.ended.with_label_values(&[form, result]).inc();
-    if let Some(end) = history.end {
-        relay.refused.with_label_values(&[end.code()]).inc();
-    }
+    history.record(&shared, &call, received, &outlet, reply.as_ref());
     if let Some(reply) = reply {
         outlet.finish(reply).await;
     }
 }
 
-fn result_of(reply: Option<&outlet::Reply>) -> &'static str {
-    match reply {
-        None | Some(outlet::Reply::Stream(..)) => "streamed",
-        Some(outlet::Reply::Whole(_)) => "answered",
-        Some(outlet::Reply::Refusal(port::Refusal::NotRun(_))) => "not_run",
-        Some(outlet::Reply::Refusal(_)) => "failed",
-    }
-}
-
-/// What is known of a request when it ends, also when its time is up in the middle of a step.
-#[derive(Default)]
-struct History {
-    may_have_run: bool,
-    sends: u32,
-    last: Option<UpstreamName>,
-    helpers: usize,
-    estimate: Millis,
-    end: Option<End>,
-    /// An upstream's own error, which is passed on if no better answer comes.
-    error: Option<outlet::Whole>,
-}
-
-impl History {
-    fn plan(&mut self, plan: &Plan) {
-        self.last = Some(plan.lead.upstream.clone());
-        self.helpers = plan.helpers.len();
-        self.estimate = plan.estimate;
-    }
-
-    fn note(&mut self, exchange: &Exchange<Routed>) {
-        self.may_have_run = exchange.outcome() != Outcome::NotRun;
-        self.sends = exchange.sends();
-    }
-
-    fn refuse(&mut self, end: End) -> outlet::Reply {
-        if let Some(error) = self.error.take() {
-            return outlet::Reply::Whole(error);
-        }
-        self.end = Some(end);
-        outlet::Reply::Refusal(match (self.may_have_run, end) {
-            (false, _) => port::Refusal::NotRun(COME_BACK),
-            (true, End::TimeUp | End::Final(Final::OutOfTime)) => port::Refusal::TimedOut,
-            (true, _) => port::Refusal::Failed,
-        })
-    }
-}
-
 /// What one attempt came to.
 enum Attempted {
     /// The request has its answer, or its caller has gone.
@@ -183,8 +78,8 @@
     call: &call::Call,
     mut exchange: Exchange<Routed>,
     outlet: &mut outlet::Outlet,
-    history: &mut History,
-) -> Result<Option<outlet::Whole>, End> {
+    history: &mut history::History,
+) -> Result<Option<outlet::Whole>, history::End> {
     let mut standby = None;
     let mut unreached = 0;
     loop {
@@ -201,7 +96,7 @@
         match prepare(shared, &placed).await {
             Ok((group, connection)) => {
                 if let Err(budget::Spent) = budget::spend(shared, &placed) {
-                    let end = End::NoBudget;
+                    let end = history::End::NoBudget;
                     let exchange = placed.unreached();
                     return go_on(shared, call, exchange, standby, outlet)
                         .await
@@ -227,7 +122,7 @@
                 exchange = placed.unreached();
                 unreached += 1;
                 if unreached >= MAX_UNREACHED {
-                    let end = End::Unreached;
+                    let end = history::End::Unreached;
                     return go_on(shared, call, exchange, standby, outlet)
                         .await
                         .ok_or(end);
@@ -242,9 +137,11 @@
     shared: &sync::Arc<shared::Shared>,
     call: &call::Call,
     exchange: &Exchange<Routed>,
-) -> Result<(Plan, planning::Held), End> {
+) -> Result<(Plan, planning::Held), history::End> {
     if exchange.sends() > 0 {
-        exchange.may_send(shared.clock.now()).map_err(End::Final)?;
+        exchange
+            .may_send(shared.clock.now())
+            .map_err(history::End::Final)?;
     }
     place(shared, call, exchange).await
 }
@@ -263,7 +160,7 @@
     ready: Ready,
     standby: &mut Option<stream::Standby>,
     outlet: &mut outlet::Outlet,
-    history: &mut History,
+    history: &mut history::History,
 ) -> Attempted {
     let mut held = ready.held;
     let lead = sent.plan().lead.upstream.clone();
@@ -369,7 +266,7 @@
     shared: &sync::Arc<shared::Shared>,
     call: &call::Call,
     exchange: &Exchange<Routed>,
-) -> Result<(Plan, planning::Held), End> {
+) -> Result<(Plan, planning::Held), history::End> {
     let objective = call.admission.route.objective();
     let wait = Millis((objective.first.0 as f64 * WAIT_SHARE) as u64).min(LONGEST_WAIT);
     let give_up = shared.clock.now().after(wait);
@@ -396,7 +293,7 @@
                 pool = %demand.pool,
                 error = %refusal,
             );
-            return Err(End::NoPlan);
+            return Err(history::End::NoPlan);
         }
         tokio::time::sleep(REPLAN_PAUSE).await;
     }
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -138,14 +138,7 @@
     requests.plans.insert(plan.id, held);
     requests.answered.insert(demand.pool.clone(), answered);
     drop(requests);
-    let settlement = Settlement {
-        pool: demand.pool.clone(),
-        id: plan.id,
-        availability_zone: demand.availability_zone.clone(),
-        upstream: plan.lead.upstream.clone(),
-        verdict: Verdict::Unjudged,
-        begun: false,
-    };
+    let settlement = unjudged(shared, &demand.pool, &plan, false);
     let held = Held {
         shared: shared.clone(),
         settlement,
@@ -230,10 +223,15 @@
             continue;
         }
         if let Some(former) = held.planner.take() {
-            let note = message::Request::Settle(unjudged(shared, &held.assertion));
+            let note = message::Request::Settle(unjudged(
+                shared,
+                &held.assertion.pool,
+                &held.assertion.plan,
+                true,
+            ));
             tell(shared, former.address, note);
         } else {
-            let settlement = unjudged(shared, &held.assertion);
+            let settlement = unjudged(shared, &held.assertion.pool, &held.assertion.plan, true);
             shared.jobs.submit(jobs::Job::Settle(settlement));
         }
         held.planner = (!shared.is_own(present)).then(|| present.clone());
@@ -248,14 +246,14 @@
 }
 
 /// Returns the settlement that only gives a plan back.
-fn unjudged(shared: &shared::Shared, assertion: &Assertion) -> Settlement {
+fn unjudged(shared: &shared::Shared, pool: &PoolName, plan: &Plan, begun: bool) -> Settlement {
     Settlement {
-        pool: assertion.pool.clone(),
-        id: assertion.plan.id,
+        pool: pool.clone(),
+        id: plan.id,
         availability_zone: shared.settings.availability_zone.clone(),
-        upstream: assertion.plan.lead.upstream.clone(),
+        upstream: plan.lead.upstream.clone(),
         verdict: Verdict::Unjudged,
-        begun: true,
+        begun,
     }
 }
 
@@ -321,13 +319,5 @@
 
 /// Ends a plan that nobody awaits any more.
 pub fn forget(shared: &shared::Shared, demand: &Demand, plan: &Plan) {
-    let settlement = Settlement {
-        pool: demand.pool.clone(),
-        id: plan.id,
-        availability_zone: demand.availability_zone.clone(),
-        upstream: plan.lead.upstream.clone(),
-        verdict: Verdict::Unjudged,
-        begun: false,
-    };
-    settle_here(shared, &settlement);
+    settle_here(shared, &unjudged(shared, &demand.pool, plan, false));
 }
--- a/limpetkeeld/src/relay/worker.rs
+++ b/limpetkeeld/src/relay/worker.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::{Mutex, mpsc};
 
-use crate::relay::{follow, jobs, planning, shared};
+use crate::relay::{adopt, jobs, planning, shared};
 
 /// Starts the workers.
 pub fn start(shared: &sync::Arc<shared::Shared>, rx: mpsc::Receiver<jobs::Job>) {
@@ -30,8 +30,8 @@
             jobs::Job::Assert(assertions) => planning::assert_here(&shared, &assertions),
             jobs::Job::Begun(pool, id) => planning::begun_here(&shared, &pool, id),
             jobs::Job::Settle(settlement) => planning::settle_here(&shared, &settlement),
-            jobs::Job::Adopt(catalog, source) => follow::adopt(&shared, catalog, source),
-            jobs::Job::Apply(changes) => follow::apply(&shared, changes),
+            jobs::Job::Adopt(catalog, source) => adopt::adopt(&shared, catalog, source),
+            jobs::Job::Apply(changes) => adopt::apply(&shared, changes),
             jobs::Job::Barrier(done) => {
                 let _ = done.send(());
             }
