--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -118,6 +118,10 @@
             }
             timing => self.plan_one(now, timing.as_ref(), demand)?,
         };
+        if let Some(lead) = self.upstreams.get(&plan.lead.upstream) {
+            let (from, zone) = (&demand.availability_zone, lead.availability_zone());
+            self.health.note_trial(now, from, zone);
+        }
         let helpers = plan.helpers.iter().map(|helper| &helper.place.upstream);
         let parts = helpers.chain([&plan.lead.upstream]).cloned().collect();
         let lapses = now.after(demand.remaining + ledger::LAPSE_GRACE);
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -10,6 +10,10 @@
 /// A zone in which this many upstreams could not be reached counts as cut off.
 const CUT_AFTER: usize = 2;
 
+/// While one request tries a zone that was cut off, others leave it out for this long: more than a
+/// connection may take.
+const TRIAL: unit::Millis = unit::Millis(300);
+
 /// A failure rate halves in this long, so that a recovered upstream is tried again.
 const HALF_LIFE_MS: f64 = 2_500.0;
 
@@ -59,6 +63,23 @@
         self.rates.insert(seen.upstream.clone(), (rate, now));
     }
 
+    /// Leaves a zone that was cut off to the request that tries it now.
+    pub(super) fn note_trial(
+        &mut self,
+        now: unit::Timestamp,
+        from: &name::AvailabilityZoneName,
+        zone: &name::AvailabilityZoneName,
+    ) {
+        let pair = (from.clone(), zone.clone());
+        if let Some(missed) = self.missed.get_mut(&pair)
+            && missed.len() >= CUT_AFTER
+        {
+            for until in missed.values_mut() {
+                *until = (*until).max(now.after(TRIAL));
+            }
+        }
+    }
+
     /// Returns the decayed part of an upstream's answers that failed.
     pub(super) fn failure_rate(&self, now: unit::Timestamp, name: &name::UpstreamName) -> f64 {
         let Some((rate, at)) = self.rates.get(name) else {
--- a/limpetkeel/tests/planner.rs
+++ b/limpetkeel/tests/planner.rs
@@ -262,6 +262,40 @@
     assert!(seen_elsewhere, "zone y reaches its own upstreams");
 }
 
+#[test]
+fn a_zone_that_was_cut_off_is_tried_by_one_request_at_a_time() {
+    let mut planner = planner(9);
+    for (id, upstream) in [(1, "e01"), (2, "e04")] {
+        let plan = planner
+            .plan(Timestamp(0), &demand(id, 1_000))
+            .expect("plan");
+        settle(&mut planner, 0, &plan, upstream, Verdict::Unreachable);
+    }
+    let beyond = |plan: &Plan| {
+        let index: usize = plan.lead.upstream.as_str()[1..].parse().expect("index");
+        index % 3 == 1
+    };
+    let plans: Vec<_> = (10..60)
+        .map(|id| {
+            planner
+                .plan(Timestamp(2_100), &demand(id, 1_000))
+                .expect("plan")
+        })
+        .collect();
+    assert_eq!(plans.iter().filter(|plan| beyond(plan)).count(), 1);
+    let tried = plans.iter().find(|plan| beyond(plan)).expect("one");
+    let name = tried.lead.upstream.clone();
+    settle(&mut planner, 2_110, tried, name.as_str(), Verdict::Good);
+    let after = (60..100)
+        .map(|id| {
+            planner
+                .plan(Timestamp(2_120), &demand(id, 1_000))
+                .expect("plan")
+        })
+        .filter(|plan| beyond(plan));
+    assert!(after.count() > 3, "an answer opens the zone");
+}
+
 #[test]
 fn a_request_avoids_what_failed_it_unless_nothing_else_is_left() {
     let mut planner = planner(2);
