Hold request bodies within a budget, and keep the log of a daemon that is not ready

Half of the memory that the platform grants may hold bodies; each part counts as it arrives, and what does not fit is refused as not run. The test holds five bodies of 90 KB against a budget of 512 KB.

--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -107,7 +107,7 @@
 
 /// Joins a request to its route and reads its body.
 async fn admit(
-    shared: &shared::Shared,
+    shared: &sync::Arc<shared::Shared>,
     parts: http::request::Parts,
     head: Result<port::CallHead, port::HeadError>,
     incoming: Incoming,
@@ -133,7 +133,7 @@
         count_refusal(shared, code, Some(&head.id));
         refusal
     })?;
-    let body = read(incoming, limits).await.inspect_err(|_| {
+    let body = read(shared, incoming, limits).await.inspect_err(|_| {
         count_refusal(shared, "body", Some(&head.id));
     })?;
     let pool = admission.route.pool(rand::random()).cloned();
@@ -178,16 +178,30 @@
     tracing::info!(event = "request_denied", request, reason = code, version);
 }
 
-async fn read(incoming: Incoming, limits: Limits) -> Result<Bytes, port::Refusal> {
-    let limited = http_body_util::Limited::new(incoming, limits.body.0 as usize);
-    let collected = tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(port::Refusal::BodyTooLarge)
+/// Reads a body; each part of it is taken out of the budget as it arrives.
+async fn read(
+    shared: &sync::Arc<shared::Shared>,
+    mut incoming: Incoming,
+    limits: Limits,
+) -> Result<call::HeldBody, port::Refusal> {
+    let mut held = call::HeldBody::new(shared);
+    let reading = async {
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|_| port::Refusal::NotRun(COME_BACK))?;
+            let Ok(part) = frame.into_data() else {
+                continue;
+            };
+            if held.len() + part.len() as u64 > limits.body.0 {
+                return Err(port::Refusal::BodyTooLarge);
+            }
+            let taken = held.push(part);
+            taken.map_err(|_| port::Refusal::NotRun(COME_BACK))?;
         }
-        Ok(Err(_)) | Err(_) => Err(port::Refusal::NotRun(COME_BACK)),
-    }
+        Ok(())
+    };
+    let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
+    read.unwrap_or(Err(port::Refusal::NotRun(COME_BACK)))?;
+    Ok(held)
 }
 
 /// Drives a request in a task of its own, which ends when the caller goes.
--- a/limpetkeeld/src/relay/settings.rs
+++ b/limpetkeeld/src/relay/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, net, path};
 
-use limpetkeel::{AvailabilityZoneName, InstanceName, Millis, RetryBound};
+use limpetkeel::{AvailabilityZoneName, Bytes, InstanceName, Millis, RetryBound};
 
 use crate::settings::{Checker, Error, Problem, address, between, key, parse};
 
@@ -23,6 +23,7 @@
     #[serde(default = "default_workers")]
     workers: toml::Spanned<usize>,
     leave_timeout_ms: toml::Spanned<u64>,
+    memory_limit_mb: toml::Spanned<u64>,
     retry_ratio: toml::Spanned<f64>,
     retry_allowance: toml::Spanned<u64>,
     retry_window_ms: toml::Spanned<u64>,
@@ -64,6 +65,8 @@
     pub workers: usize,
     /// A leaving instance stops after this long, even with requests in progress.
     pub leave_timeout: Millis,
+    /// Bytes of request bodies that are held at once.
+    pub body_budget: Bytes,
     /// The bound on repeated sends over all instances.
     pub retry_bound: RetryBound,
     /// The log filter.
@@ -76,6 +79,16 @@
 /// The bounds of `retry_window_ms`.
 const WINDOW_BOUNDS: (u64, u64) = (100, 600_000);
 
+/// The bounds of `memory_limit_mb`.
+const MEMORY_BOUNDS: (u64, u64) = (1, 1 << 20);
+
+/// Bytes of a megabyte.
+const BYTES_PER_MB: u64 = 1024 * 1024;
+
+/// The part of the memory that request bodies may take; the rest is for tables, connections and
+/// answers.
+const BODY_PERCENT: u8 = 50;
+
 /// The largest `retry_allowance`.
 const MOST_ALLOWANCE: u64 = 1_000_000;
 
@@ -111,6 +124,12 @@
             &self.leave_timeout_ms,
             between(least, most),
         );
+        let (least, most) = MEMORY_BOUNDS;
+        let memory = checker.check(
+            "memory_limit_mb",
+            &self.memory_limit_mb,
+            between(least, most),
+        );
         let ratio = checker.check("retry_ratio", &self.retry_ratio, |ratio| {
             let valid = ratio.is_finite() && (0.0..=1.0).contains(ratio);
             valid.then_some(*ratio).ok_or(Problem::Bounds(0, 1))
@@ -138,6 +157,7 @@
             seeds: seeds.into_iter().collect::<Option<_>>()?,
             workers: workers?,
             leave_timeout: Millis(leave?),
+            body_budget: Bytes(memory? * BYTES_PER_MB).percent(BODY_PERCENT),
             retry_bound: RetryBound {
                 ratio: ratio?,
                 allowance: allowance? as f64,
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -3,8 +3,8 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    Assertion, ChangeLog, Contact, Ingress, Instance, Level, Ordered, Planner, PoolName, RequestId,
-    RetryBound, RetryWindow, Revision, Roll, Roster, Stage, Timestamp,
+    Assertion, BodyBudget, ChangeLog, Contact, Ingress, Instance, Level, Ordered, Planner,
+    PoolName, RequestId, RetryBound, RetryWindow, Revision, Roll, Roster, Stage, Timestamp,
 };
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -109,6 +109,8 @@
     pub planners: Ordered<collections::BTreeMap<PoolName, Planner>>,
     /// Locked fourth.
     pub requests: Ordered<Requests>,
+    /// Locked sixth, and never beside the bound on repeats.
+    pub bodies: Ordered<BodyBudget>,
     /// Locked sixth, and never beside another one.
     retry_bound: Ordered<RetryBound>,
     /// Locked last.
@@ -151,6 +153,7 @@
             membership: Ordered::new(Level::Members, membership),
             planners: Ordered::new(Level::Keepers, collections::BTreeMap::new()),
             requests: Ordered::new(Level::Requests, Requests::default()),
+            bodies: Ordered::new(Level::RunOnce, BodyBudget::new(settings.body_budget)),
             retry_bound: Ordered::new(Level::RunOnce, settings.retry_bound),
             retries: Ordered::new(Level::Budgets, collections::BTreeMap::new()),
             settings,
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -23,7 +23,7 @@
         let child = process::Command::new(program(name))
             .args(args)
             .stdin(process::Stdio::null())
-            .stdout(process::Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         Ok(Process { child })
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -19,6 +19,8 @@
     Encode(serde_json::Error),
     /// Something was awaited in vain.
     TimedOut(&'static str),
+    /// A daemon is not ready in time; the end of its log is given.
+    NotReady(String),
 }
 
 impl fmt::Display for Error {
@@ -27,6 +29,7 @@
             Error::Io(e) => write!(f, "{e}"),
             Error::Http(e) => write!(f, "{e}"),
             Error::Encode(e) => write!(f, "{e}"),
+            Error::NotReady(log) => write!(f, "a daemon is not ready: {log}"),
             Error::TimedOut(what) => write!(f, "{what} did not happen in time"),
         }
     }
--- a/standins/src/site/node.rs
+++ b/standins/src/site/node.rs
@@ -137,6 +137,7 @@
             "instance = \"node{index}\"\navailability_zone = \"z\"\nhttp_listen = \"{http}\"\n\
              ready_listen = \"{ready}\"\nstatus_listen = \"{status}\"\npeer_listen = \"{peers}\"\n\
              peer_key = \"a key that all peers share\"\nstore = \"{}\"\nleave_timeout_ms = 7000\n\
+             memory_limit_mb = 1\n\
              retry_ratio = 0.2\nretry_allowance = 50\nretry_window_ms = 10000\n",
             self.store.doors[index],
         );
@@ -191,7 +192,8 @@
         let deadline = time::Instant::now() + PATIENCE;
         while !self.is_ready(node).await {
             if time::Instant::now() > deadline {
-                return Err(site::Error::TimedOut("readiness"));
+                let log = std::fs::read_to_string(self.folder.join("limpetkeel-node.log"));
+                return Err(site::Error::NotReady(log.unwrap_or_default()));
             }
             tokio::time::sleep(LOOK).await;
         }
--- a/standins/tests/relay.rs
+++ b/standins/tests/relay.rs
@@ -89,6 +89,40 @@
     assert_eq!(site.runs("id1"), 0);
 }
 
+#[tokio::test]
+async fn bodies_are_held_within_the_budget_and_given_back() {
+    // The instance may take 1 MB: 512 KB for bodies.
+    let site = Site::start(1, 1).await.expect("site");
+    site.upstreams[0].set_conduct(Conduct::Hang);
+    let large = || vec![b'x'; 90_000];
+    let holding: Vec<_> = (0..5)
+        .map(|number| {
+            let req = site.request(0, "POST", "/book/x", &format!("held{number}"));
+            tokio::spawn(req.body(large()).send())
+        })
+        .collect();
+    node::eventually("five bodies are held", async || {
+        site.upstreams[0].seen().len() == 5
+    })
+    .await
+    .expect("held");
+    let one_more = site.request(0, "POST", "/book/x", "id1").body(large());
+    let got = site.ask(one_more).await.expect("answer");
+    assert_eq!(got.status, 503);
+    assert!(got.retry_after.is_some());
+    assert_eq!(site.runs("id1"), 0);
+    for held in holding {
+        held.abort();
+    }
+    site.upstreams[0].set_conduct(Conduct::Good);
+    node::eventually("there is room again", async || {
+        let again = site.request(0, "POST", "/book/x", "id2").body(large());
+        site.ask(again).await.is_ok_and(|got| got.status == 200)
+    })
+    .await
+    .expect("room");
+}
+
 #[test_case(Conduct::LoseAnswer)]
 #[test_case(Conduct::Garble)]
 #[test_case(Conduct::AnswerAnother)]
