Let the deadline alone end the last attempt, and give each test process its own ports

Two findings, looked for with eight test processes side by side under load: - A daemon was not ready: "Address already in use". Test processes took ports of each other; each holds a block of its own now. The last attempt's patience ended with the request's deadline, and whichever timer fired first chose the status. The last attempt is ended by the deadline only.

--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -23,6 +23,9 @@
 /// A first event may take this many times what the planner expects.
 const ESTIMATE_PATIENCE: f64 = 3.0;
 
+/// The last attempt is ended by the deadline of its request, so its own patience lasts longer.
+const OVERTIME: Millis = Millis(1_000);
+
 /// A first event may take this part of what is left, so that another engine still has time.
 const FIRST_SHARE: f64 = 0.45;
 
@@ -70,7 +73,7 @@
     let route = &call.admission.route;
     let objective = route.objective().first;
     if last || route.repeat() == Repeat::Never {
-        return left.duration();
+        return (left + OVERTIME).duration();
     }
     let patience = match route.form() {
         Form::Whole => call::scale(objective, WHOLE_PATIENCE),
--- a/standins/src/site/node.rs
+++ b/standins/src/site/node.rs
@@ -1,6 +1,6 @@
 //! A deployment of real daemon processes before stand-in upstreams.
 
-use std::{net, path, sync::atomic, time};
+use std::{net, path, sync, time};
 
 use platform::names;
 
@@ -59,23 +59,44 @@
     http: reqwest::Client,
 }
 
-/// Ports below those that the system gives to outgoing connections, so that none is taken between
-/// the look and the start of a daemon.
+/// Ports below those that the system gives to outgoing connections.
 const PORTS: std::ops::Range<u16> = 12_000..32_000;
 
-/// The place in the range at which this process continues to look.
-static NEXT_PORT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+/// Ports that one test process has for itself.
+const BLOCK: u16 = 500;
 
-/// Returns an address that nobody listens on.
+/// The first port of a block; listening on it keeps other test processes out of the block.
+struct Block {
+    first: u16,
+    _guard: net::TcpListener,
+}
+
+/// The block of this process.
+static OWN_BLOCK: sync::OnceLock<Option<Block>> = sync::OnceLock::new();
+
+/// The place in the block at which the next look begins.
+static NEXT_PORT: sync::atomic::AtomicU16 = sync::atomic::AtomicU16::new(0);
+
+fn take_block() -> Option<Block> {
+    PORTS.step_by(usize::from(BLOCK)).find_map(|first| {
+        let guard = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, first)).ok()?;
+        Some(Block {
+            first,
+            _guard: guard,
+        })
+    })
+}
+
+/// Returns an address that nobody listens on and that no other test process takes.
 fn free_address() -> site::Result<net::SocketAddr> {
-    let span = u32::from(PORTS.end - PORTS.start);
-    // Processes start at different places.
-    let start = std::process::id().wrapping_mul(769);
-    for _ in PORTS {
-        let next = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
-        let offset = start.wrapping_add(next) % span;
-        let port = PORTS.start + u16::try_from(offset).unwrap_or_default();
-        let address = (net::Ipv4Addr::LOCALHOST, port);
+    let block = OWN_BLOCK.get_or_init(take_block).as_ref();
+    let block = block.ok_or(site::Error::TimedOut("a free block of ports"))?;
+    for _ in 1..BLOCK {
+        let next = NEXT_PORT.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let address = (
+            net::Ipv4Addr::LOCALHOST,
+            block.first + 1 + next % (BLOCK - 1),
+        );
         if net::TcpListener::bind(address).is_ok() {
             return Ok(address.into());
         }
--- a/standins/tests/relay.rs
+++ b/standins/tests/relay.rs
@@ -287,6 +287,8 @@
         let started = time::Instant::now();
         let got = site.ask(site.request(0, "POST", "/book/x", "id1")).await;
         let in_time = started.elapsed() < time::Duration::from_millis(1_100);
+        // Shown if the test fails.
+        println!("{:?} {got:?}", started.elapsed());
         got.is_ok_and(|got| got.status == 504) && in_time
     })
     .await
