Enter plans in one place, and drop what stood twice in the relay

- The ledger of a plan was written in three places: for short plans, for long ones, and for plans of other planners.
Planner::enter serves all; estimates are worked out before it.
- Exchange::may_resend repeated may_send, which now serves both states.
- roll had its own copy of the rendezvous weight of member.
- Each attempt copied the whole request body; it is frozen once and shared.
- Timing::passes and Refusal::HeadTooLarge were used by nothing, and the header of planner described the lane as it was at first.

--- a/limpetkeel/src/engine.rs
+++ b/limpetkeel/src/engine.rs
@@ -101,9 +101,4 @@
             + context.0 as f64 / 1000.0 * self.0.context_ms_per_k;
         step * f64::from(self.0.steps_per_pass)
     }
-
-    /// Returns the passes that write an answer of that length.
-    pub fn passes(&self, output: unit::Tokens) -> u64 {
-        output.0.div_ceil(u64::from(self.0.steps_per_pass)).max(1)
-    }
 }
--- a/limpetkeel/src/exchange.rs
+++ b/limpetkeel/src/exchange.rs
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 pub struct Routed(());
 
-/// A keeper planned where the request runs.
+/// A planner chose where the request runs.
 #[derive(Debug)]
 pub struct Placed {
     plan: plan::Plan,
@@ -103,6 +103,24 @@
         }
     }
 
+    /// Tells whether the request may be sent again, now or when its present attempt has failed.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason why not.
+    pub fn may_send(&self, now: unit::Timestamp) -> Result<(), Final> {
+        if self.may_have_run && self.subject.repeat == ingress::Repeat::Never {
+            return Err(Final::MayHaveRun);
+        }
+        if self.sends >= self.subject.max_sends {
+            return Err(Final::SendsUsed);
+        }
+        if self.deadline.since(now) < LEAST_TIME {
+            return Err(Final::OutOfTime);
+        }
+        Ok(())
+    }
+
     fn into_state<T>(self, state: T) -> (Exchange<T>, S) {
         let exchange = Exchange {
             subject: self.subject,
@@ -151,24 +169,6 @@
         };
         self.into_state(sent).0
     }
-
-    /// Tells whether the request may be sent again, after it was sent before.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the reason why not.
-    pub fn may_send(&self, now: unit::Timestamp) -> Result<(), Final> {
-        if self.may_have_run && self.subject.repeat == ingress::Repeat::Never {
-            return Err(Final::MayHaveRun);
-        }
-        if self.sends >= self.subject.max_sends {
-            return Err(Final::SendsUsed);
-        }
-        if self.deadline.since(now) < LEAST_TIME {
-            return Err(Final::OutOfTime);
-        }
-        Ok(())
-    }
 }
 
 impl Exchange<Placed> {
@@ -202,13 +202,6 @@
         &self.state.plan
     }
 
-    /// Tells whether the request may be sent again if this attempt fails now.
-    pub fn may_resend(&self, now: unit::Timestamp) -> bool {
-        self.subject.repeat != ingress::Repeat::Never
-            && self.sends < self.subject.max_sends
-            && self.deadline.since(now) >= LEAST_TIME
-    }
-
     /// Decides about an event by its number, and tells whether the caller still needs it.
     pub fn accept(&mut self, event: u64) -> bool {
         let next = self.delivered.is_none_or(|last| event > last);
--- a/limpetkeel/src/member.rs
+++ b/limpetkeel/src/member.rs
@@ -351,6 +351,7 @@
     }
 }
 
-fn weight(contact: &Contact, key: &str) -> u64 {
+/// Returns the weight by which rendezvous hashing ranks a member for a key.
+pub(crate) fn weight(contact: &Contact, key: &str) -> u64 {
     xxh3::xxh3_64_with_seed(key.as_bytes(), id_of(&contact.name))
 }
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -5,9 +5,9 @@
 //! plan ends; what it is not told lapses. Two planners of one pool do no harm beyond worse plans,
 //! since every upstream admits for itself.
 //!
-//! Reading a long prompt delays every stream on the same engine. So the first engines of a fixed
-//! order form a *lane* that reads long prompts in parts, and all others write. The lane grows and
-//! shrinks with the demand.
+//! Reading a long prompt delays every stream on the same engine. So some engines form a *lane* that
+//! reads long prompts in parts, and all others write. The lane grows and shrinks with the demand,
+//! and takes the engines with the fewest streams.
 
 mod health;
 mod lane;
@@ -113,7 +113,7 @@
     ) -> error::Result<plan::Plan> {
         self.expire(now);
         let plan = match self.timing {
-            Some(timing) if self.is_long(&timing, demand) => {
+            Some(timing) if self.is_long(demand.work.prompt) => {
                 self.plan_long(now, &timing, demand)?
             }
             timing => self.plan_one(now, timing.as_ref(), demand)?,
@@ -122,26 +122,15 @@
             let (from, zone) = (&demand.availability_zone, lead.availability_zone());
             self.health.note_trial(now, from, zone);
         }
-        let helpers = plan.helpers.iter().map(|helper| &helper.place.upstream);
-        let parts = helpers.chain([&plan.lead.upstream]).cloned().collect();
-        let lapses = now.after(demand.remaining + ledger::LAPSE_GRACE);
-        let part_ms = self.timing.map_or(0.0, |timing| {
-            timing.part_ms(demand.work.prompt, plan.helpers.len() + 1)
-        });
-        let ledger = ledger::Ledger {
-            parts,
-            part_ms,
-            planned: now,
-            estimate: plan.estimate,
-            lapses,
-        };
-        self.plans.insert(demand.id, ledger);
+        self.enter(now, &plan, demand.work, demand.remaining, false);
         Ok(plan)
     }
 
-    fn is_long(&self, timing: &engine::Timing, demand: &plan::Demand) -> bool {
+    /// Tells whether several engines read a prompt.
+    fn is_long(&self, prompt: unit::Tokens) -> bool {
         let limit = self.shortest_pause.0 as f64 * LONG_SHARE;
-        timing.read_ms(demand.work.prompt) > limit && self.upstreams.len() > 1
+        let reads_long = |timing: engine::Timing| timing.read_ms(prompt) > limit;
+        self.timing.is_some_and(reads_long) && self.upstreams.len() > 1
     }
 
     /// Plans a request that one upstream serves alone.
@@ -169,15 +158,9 @@
         if estimate > demand.remaining.0 as f64 * HOPELESS_SHARE {
             return Err(error::Error::WouldMissDeadline);
         }
-        let lead = lead.place();
-        if let Some(upstream) = self.upstreams.get_mut(&lead.upstream) {
-            let reading = timing.map_or(0.0, |timing| timing.read_ms(demand.work.prompt));
-            upstream.read(now, reading);
-            upstream.write(demand.id, demand.work.memory(), upstream::Length::Short);
-        }
         Ok(plan::Plan {
             id: demand.id,
-            lead,
+            lead: lead.place(),
             helpers: Vec::new(),
             estimate: unit::Millis(estimate as u64),
         })
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -3,11 +3,11 @@
 use crate::{
     grant, name, plan,
     planner::{self, health, upstream},
-    unit,
+    unit, work,
 };
 
 /// A plan that is not settled lapses this long after its request's deadline.
-pub(super) const LAPSE_GRACE: unit::Millis = unit::Millis(500);
+const LAPSE_GRACE: unit::Millis = unit::Millis(500);
 
 #[derive(Debug)]
 pub(super) struct Ledger {
@@ -22,40 +22,54 @@
 impl planner::Planner {
     /// Enters a plan that another planner made.
     pub fn assert(&mut self, now: unit::Timestamp, assertion: &plan::Assertion) {
-        let plan = &assertion.plan;
-        if self.plans.contains_key(&plan.id) {
-            return;
+        let plan::Assertion {
+            plan,
+            work,
+            remaining,
+            begun,
+            ..
+        } = assertion;
+        if !self.plans.contains_key(&plan.id) {
+            self.enter(now, plan, *work, *remaining, *begun);
         }
-        let parts = plan.helpers.len() + 1;
-        let prompt = assertion.work.prompt;
-        let part_ms = self.timing.map_or(0.0, |t| t.part_ms(prompt, parts));
+    }
+
+    /// Enters a plan in the ledgers of its upstreams; its reading too, unless its answer has begun.
+    pub(super) fn enter(
+        &mut self,
+        now: unit::Timestamp,
+        plan: &plan::Plan,
+        work: work::Work,
+        remaining: unit::Millis,
+        begun: bool,
+    ) {
         let mut reserved = unit::Tokens::ZERO;
-        let places = plan.helpers.iter().map(|helper| &helper.place);
-        let parts: Vec<_> = places
-            .chain([&plan.lead])
-            .map(|place| place.upstream.clone())
-            .collect();
         for helper in &plan.helpers {
-            let reserve = helper.reserve.unwrap_or(unit::Tokens::ZERO);
-            reserved += reserve;
-            if let Some(upstream) = self.upstreams.get_mut(&helper.place.upstream) {
-                upstream.reserve(plan.id, reserve);
+            if let Some(tokens) = helper.reserve
+                && let Some(upstream) = self.upstreams.get_mut(&helper.place.upstream)
+            {
+                upstream.reserve(plan.id, tokens);
+                reserved += tokens;
             }
         }
-        if let Some(upstream) = self.upstreams.get_mut(&plan.lead.upstream) {
-            let length = if parts.len() > 1 {
-                upstream::Length::Long
-            } else {
-                upstream::Length::Short
-            };
-            let memory = assertion.work.memory().saturating_sub(reserved);
-            upstream.write(plan.id, memory, length);
+        let length = if self.is_long(work.prompt) {
+            upstream::Length::Long
+        } else {
+            upstream::Length::Short
+        };
+        if let Some(lead) = self.upstreams.get_mut(&plan.lead.upstream) {
+            lead.write(plan.id, work.memory().saturating_sub(reserved), length);
         }
-        if !assertion.begun {
-            for name in &parts {
-                if let Some(upstream) = self.upstreams.get_mut(name) {
-                    upstream.read(now, part_ms);
-                }
+        let helpers = plan.helpers.iter().map(|helper| &helper.place);
+        let places = helpers.chain([&plan.lead]);
+        let parts: Vec<_> = places.map(|place| place.upstream.clone()).collect();
+        let part_ms = self
+            .timing
+            .map_or(0.0, |timing| timing.part_ms(work.prompt, parts.len()));
+        let reading = parts.iter().filter(|_| !begun);
+        for name in reading {
+            if let Some(upstream) = self.upstreams.get_mut(name) {
+                upstream.read(now, part_ms);
             }
         }
         let ledger = Ledger {
@@ -63,7 +77,7 @@
             part_ms,
             planned: now,
             estimate: plan.estimate,
-            lapses: now.after(assertion.remaining + LAPSE_GRACE),
+            lapses: now.after(remaining + LAPSE_GRACE),
         };
         self.plans.insert(plan.id, ledger);
     }
--- a/limpetkeel/src/planner/long.rs
+++ b/limpetkeel/src/planner/long.rs
@@ -64,7 +64,7 @@
                 });
             }
         }
-        let estimate = self.enter(now, timing, demand, &lead, &helpers);
+        let estimate = self.reading_ms(now, timing, prompt, &lead, &helpers);
         Ok(plan::Plan {
             id: demand.id,
             lead,
@@ -127,35 +127,24 @@
         Err(error::Error::NoMemory)
     }
 
-    /// Enters a long prompt in the ledgers and returns when it will be read, in milliseconds.
-    fn enter(
-        &mut self,
+    /// Returns when a long prompt will be read by all its engines, in milliseconds.
+    fn reading_ms(
+        &self,
         now: unit::Timestamp,
         timing: &engine::Timing,
-        demand: &plan::Demand,
+        prompt: unit::Tokens,
         lead: &grant::Place,
         helpers: &[plan::Helper],
     ) -> f64 {
-        let mut estimate: f64 = 0.0;
-        let part = timing.part_ms(demand.work.prompt, helpers.len() + 1);
-        let mut reserved = unit::Tokens::ZERO;
-        for helper in helpers {
-            if let Some(upstream) = self.upstreams.get_mut(&helper.place.upstream) {
-                upstream.read(now, part);
-                estimate = estimate.max(upstream.backlog(now));
-                if let Some(tokens) = helper.reserve {
-                    upstream.reserve(demand.id, tokens);
-                    reserved += tokens;
-                }
-            }
-        }
-        if let Some(upstream) = self.upstreams.get_mut(&lead.upstream) {
-            upstream.read(now, part);
-            let passes = upstream.estimate(now, Some(timing), Default::default());
-            estimate = estimate.max(passes);
-            let memory = demand.work.memory().saturating_sub(reserved);
-            upstream.write(demand.id, memory, upstream::Length::Long);
-        }
-        estimate
+        let part = timing.part_ms(prompt, helpers.len() + 1);
+        let helping = helpers
+            .iter()
+            .filter_map(|helper| self.upstreams.get(&helper.place.upstream))
+            .map(|upstream| upstream.backlog(now));
+        let leading = self
+            .upstreams
+            .get(&lead.upstream)
+            .map(|upstream| upstream.estimate(now, Some(timing), Default::default()));
+        part + helping.chain(leading).fold(0.0, f64::max)
     }
 }
--- a/limpetkeel/src/roll.rs
+++ b/limpetkeel/src/roll.rs
@@ -2,8 +2,6 @@
 
 use std::collections;
 
-use xxhash_rust::xxh3;
-
 use crate::{member, name, unit};
 
 /// An instance that did not answer is passed over for this long, then tried again: long enough
@@ -123,7 +121,7 @@
     /// the own zone is cut off.
     pub fn planners(&self, now: unit::Timestamp, key: &str) -> Vec<member::Contact> {
         let mut ranked: Vec<_> = self.trusted(now).collect();
-        ranked.sort_by_key(|contact| std::cmp::Reverse(weight(contact, key)));
+        ranked.sort_by_key(|contact| std::cmp::Reverse(member::weight(contact, key)));
         let zone = &self.own.availability_zone;
         let local = ranked
             .iter()
@@ -142,7 +140,7 @@
         let zone = &self.own.availability_zone;
         let local = self.trusted(now).filter(|c| c.availability_zone == *zone);
         let mut ranked: Vec<_> = local.collect();
-        ranked.sort_by_key(|contact| std::cmp::Reverse(weight(contact, WATCH_KEY)));
+        ranked.sort_by_key(|contact| std::cmp::Reverse(member::weight(contact, WATCH_KEY)));
         ranked.into_iter().take(WATCHERS).cloned().collect()
     }
 
@@ -156,8 +154,3 @@
         others.get(index as usize).map(|contact| (*contact).clone())
     }
 }
-
-fn weight(contact: &member::Contact, key: &str) -> u64 {
-    let name = xxh3::xxh3_64(contact.name.as_str().as_bytes());
-    xxh3::xxh3_64_with_seed(key.as_bytes(), name)
-}
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -100,7 +100,7 @@
         helpers,
         resume_after: exchange.delivered(),
     };
-    let mut req = http::Request::new(call.body.to_bytes());
+    let mut req = http::Request::new(call.body.bytes.clone());
     *req.method_mut() = call.parts.method.clone();
     *req.uri_mut() = call.parts.uri.clone();
     *req.headers_mut() = shared.codec.encode_call(&call.parts, &dispatch);
--- a/limpetkeeld/src/relay/budget.rs
+++ b/limpetkeeld/src/relay/budget.rs
@@ -16,7 +16,7 @@
     let mut retries = shared.retries.lock();
     let window = retries.get_mut(&exchange.subject().pool);
     let allowed = window.is_some_and(|window| window.allows(now, &bound, instances));
-    allowed && exchange.may_resend(now)
+    allowed && exchange.may_send(now).is_ok()
 }
 
 /// Counts a first send, or takes a repeated one out of the budget.
--- a/limpetkeeld/src/relay/call.rs
+++ b/limpetkeeld/src/relay/call.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use limpetkeel::{Admission, Millis};
 
 use crate::relay::{port, shared};
@@ -26,7 +26,9 @@
 /// A body that counts against the instance's budget while it is held.
 pub struct HeldBody {
     shared: sync::Arc<shared::Shared>,
-    bytes: BytesMut,
+    taken: limpetkeel::Bytes,
+    /// The body, once it is complete.
+    pub bytes: Bytes,
 }
 
 impl HeldBody {
@@ -34,42 +36,27 @@
     pub fn new(shared: &sync::Arc<shared::Shared>) -> HeldBody {
         HeldBody {
             shared: shared.clone(),
-            bytes: BytesMut::new(),
+            taken: limpetkeel::Bytes::ZERO,
+            bytes: Bytes::new(),
         }
     }
 
-    /// Returns the length in bytes.
-    pub fn len(&self) -> u64 {
-        self.bytes.len() as u64
-    }
-
-    /// Tells whether there is no body.
-    pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
-    }
-
-    /// Adds a part.
+    /// Takes bytes out of the budget, before they are kept.
     ///
     /// # Errors
     ///
     /// Fails if the instance holds too many bodies.
-    pub fn push(&mut self, part: Bytes) -> limpetkeel::Result<()> {
-        let len = limpetkeel::Bytes(part.len() as u64);
+    pub fn take(&mut self, len: usize) -> limpetkeel::Result<()> {
+        let len = limpetkeel::Bytes(len as u64);
         self.shared.bodies.lock().reserve(len)?;
-        self.bytes.extend_from_slice(&part);
+        self.taken += len;
         Ok(())
     }
-
-    /// Returns a copy to send.
-    pub fn to_bytes(&self) -> Bytes {
-        Bytes::copy_from_slice(&self.bytes)
-    }
 }
 
 impl Drop for HeldBody {
     fn drop(&mut self) {
-        let len = limpetkeel::Bytes(self.len());
-        self.shared.bodies.lock().release(len);
+        self.shared.bodies.lock().release(self.taken);
     }
 }
 
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -2,7 +2,7 @@
 
 use std::{convert, io, sync};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
@@ -185,22 +185,25 @@
     limits: Limits,
 ) -> Result<call::HeldBody, port::Refusal> {
     let mut held = call::HeldBody::new(shared);
+    let mut body = BytesMut::new();
     let reading = async {
         while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|_| port::Refusal::NotRun(COME_BACK))?;
             let Ok(part) = frame.into_data() else {
                 continue;
             };
-            if held.len() + part.len() as u64 > limits.body.0 {
+            if (body.len() + part.len()) as u64 > limits.body.0 {
                 return Err(port::Refusal::BodyTooLarge);
             }
-            let taken = held.push(part);
+            let taken = held.take(part.len());
             taken.map_err(|_| port::Refusal::NotRun(COME_BACK))?;
+            body.extend_from_slice(&part);
         }
         Ok(())
     };
     let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
     read.unwrap_or(Err(port::Refusal::NotRun(COME_BACK)))?;
+    held.bytes = body.freeze();
     Ok(held)
 }
 
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -100,8 +100,6 @@
 pub enum Refusal {
     /// The request's head cannot be used.
     BadHead,
-    /// The head is too large.
-    HeadTooLarge,
     /// The body is too large.
     BodyTooLarge,
     /// No route matches.
