Keep a fleet's addresses taken until its processes have ended

Cause of the known red cell step_leave_fault_none: fields are dropped in the order of their declaration, so a fleet gave its range of addresses back before its processes were killed. Another test of the same process took the range, spoke to the platform of the first fleet, and got a reset when that was killed.

Ruled out: the daemon, since the reset came from the stand-in platform to the test's own client.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -24,6 +24,9 @@
 const FIRST_ENGINE: u8 = 100;
 const FIRST_SERVICE: u8 = 200;
 
+const CLAIM_ZONE: u8 = 252;
+const CLAIM_PORT: u16 = 4999;
+
 /// The zone number of the platform.
 pub const PLATFORM_ZONE: u8 = 250;
 
@@ -115,7 +118,6 @@
 /// All processes of a fleet; they end when it is dropped.
 pub struct Fleet {
     config: Config,
-    range: Range,
     folder: path::PathBuf,
     /// The daemons.
     pub daemons: Vec<Daemon>,
@@ -126,6 +128,8 @@
     platform: Option<Process>,
     relay: Option<Process>,
     http: reqwest::Client,
+    /// Fields are dropped in this order, and the addresses are free only when all processes ended.
+    range: Range,
 }
 
 /// The loopback addresses of one fleet.
@@ -140,7 +144,7 @@
         let start = (std::process::id() % 200) as u8;
         for step in 0..200 {
             let number = 20 + (start + step) % 200;
-            let claim = net::TcpListener::bind((net::Ipv4Addr::new(127, number, 252, 1), 4999));
+            let claim = net::TcpListener::bind(address_of(number, CLAIM_ZONE, 1, CLAIM_PORT));
             if let Ok(claim) = claim {
                 return Ok(Range {
                     number,
@@ -152,10 +156,14 @@
     }
 
     fn at(&self, zone: u8, host: u8, port: u16) -> net::SocketAddr {
-        (net::Ipv4Addr::new(127, self.number, zone, host), port).into()
+        address_of(self.number, zone, host, port)
     }
 }
 
+fn address_of(range: u8, zone: u8, host: u8, port: u16) -> net::SocketAddr {
+    (net::Ipv4Addr::new(127, range, zone, host), port).into()
+}
+
 impl Fleet {
     /// Starts the stand-ins and the daemons, without tables.
     ///
@@ -172,7 +180,6 @@
         fs::create_dir_all(&folder)?;
         let mut fleet = Fleet {
             config,
-            range,
             folder,
             daemons: Vec::new(),
             engines: Vec::new(),
@@ -180,6 +187,7 @@
             platform: None,
             relay: None,
             http: reqwest::Client::new(),
+            range,
         };
         fleet.start_platform().await?;
         fleet.start_upstreams()?;
@@ -194,9 +202,19 @@
         Ok(fleet)
     }
 
+    /// Returns the address that is held as long as the fleet's range of addresses is taken.
+    pub fn claim(&self) -> net::SocketAddr {
+        self.range.at(CLAIM_ZONE, 1, CLAIM_PORT)
+    }
+
+    /// Returns the address of the platform.
+    pub fn platform_address(&self) -> net::SocketAddr {
+        self.range.at(PLATFORM_ZONE, 1, PLATFORM_PORT)
+    }
+
     /// Returns the URL of the platform.
     pub fn platform_url(&self) -> String {
-        format!("http://{}", self.range.at(PLATFORM_ZONE, 1, PLATFORM_PORT))
+        format!("http://{}", self.platform_address())
     }
 
     async fn start_platform(&mut self) -> Result<()> {
