Log how a request ended whose caller has gone

Cause: the task of a request is aborted when its caller closes the connection, and the line request_ended was written only at the end of the task. A caller that had gone in the middle of a stream was counted as 'streamed'. The record is now written when the request is dropped, with how long the stream had been silent, and the result is 'abandoned'.

--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -3,8 +3,8 @@
 use std::{sync, time};
 
 use limpetkeel::{
-    Demand, Error, Exchange, Millis, PlacedExchange, Plan, RequestId, Routed, Sent, UpstreamName,
-    Verdict,
+    Demand, Error, Exchange, Millis, PlacedExchange, Plan, RequestId, Routed, Sent, Timestamp,
+    UpstreamName, Verdict,
 };
 
 use crate::relay::{
@@ -24,19 +24,50 @@
 /// The longest wait for room.
 const LONGEST_WAIT: Millis = Millis(2_000);
 
-/// Counts a request as in progress while it lives.
-struct InProgress(sync::Arc<shared::Shared>);
+/// A request in progress, which is recorded when it ends or its caller goes.
+struct Serving {
+    shared: sync::Arc<shared::Shared>,
+    call: call::Call,
+    received: Timestamp,
+    outlet: outlet::Outlet,
+    history: history::History,
+    /// How it ended; nothing while it is in progress.
+    ended: Option<history::Ending>,
+}
 
-impl InProgress {
-    fn enter(shared: &sync::Arc<shared::Shared>) -> InProgress {
-        shared.requests.lock().in_progress += 1;
-        InProgress(shared.clone())
+impl Serving {
+    async fn run(&mut self, exchange: Exchange<Routed>) {
+        let deadline = self.shared.clock.instant(exchange.deadline());
+        let serving = serve(
+            &self.shared,
+            &self.call,
+            exchange,
+            &mut self.outlet,
+            &mut self.history,
+        );
+        let ended = tokio::time::timeout_at(deadline, serving).await;
+        let reply = match ended {
+            Ok(Ok(Served::Streamed)) => {
+                self.ended = Some(history::Ending::Streamed);
+                return;
+            }
+            Ok(Ok(Served::Abandoned)) => return,
+            Ok(Ok(Served::Whole(whole))) => outlet::Reply::Whole(whole),
+            Ok(Err(end)) => self.history.refuse(end),
+            Err(_) => self.history.refuse(history::End::TimeUp),
+        };
+        self.ended = Some(history::Ending::of(&reply));
+        self.outlet.finish(reply).await;
     }
 }
 
-impl Drop for InProgress {
+impl Drop for Serving {
     fn drop(&mut self) {
-        self.0.requests.lock().in_progress -= 1;
+        self.shared.requests.lock().in_progress -= 1;
+        // The task of a request ends early when its caller closes the connection.
+        let ending = self.ended.unwrap_or(history::Ending::Abandoned);
+        let spans = history::Spans::new(self.shared.clock.now(), self.received, &self.outlet);
+        self.history.record(&self.shared, &self.call, ending, spans);
     }
 }
 
@@ -45,30 +76,34 @@
     shared: sync::Arc<shared::Shared>,
     call: call::Call,
     exchange: Exchange<Routed>,
-    mut outlet: outlet::Outlet,
+    outlet: outlet::Outlet,
 ) {
-    let _in_progress = InProgress::enter(&shared);
-    let deadline = shared.clock.instant(exchange.deadline());
-    let received = exchange.received();
-    let mut history = history::History::default();
-    let serving = serve(&shared, &call, exchange, &mut outlet, &mut history);
-    let ended = tokio::time::timeout_at(deadline, serving).await;
-    let reply = match ended {
-        Ok(Ok(Some(whole))) => Some(outlet::Reply::Whole(whole)),
-        Ok(Ok(None)) => None,
-        Ok(Err(end)) => Some(history.refuse(end)),
-        Err(_) => Some(history.refuse(history::End::TimeUp)),
+    shared.requests.lock().in_progress += 1;
+    let mut serving = Serving {
+        shared,
+        call,
+        received: exchange.received(),
+        outlet,
+        history: history::History::default(),
+        ended: None,
     };
-    history.record(&shared, &call, received, &outlet, reply.as_ref());
-    if let Some(reply) = reply {
-        outlet.finish(reply).await;
-    }
+    serving.run(exchange).await;
+}
+
+/// What a request came to.
+enum Served {
+    /// The whole answer of an upstream, which is to be passed on.
+    Whole(outlet::Whole),
+    /// A stream was passed on to its end.
+    Streamed,
+    /// The caller has gone.
+    Abandoned,
 }
 
 /// What one attempt came to.
 enum Attempted {
-    /// The request has its answer, or its caller has gone.
-    Done(Option<outlet::Whole>),
+    /// The request is over.
+    Done(Served),
     /// Another attempt may be made.
     Again(Exchange<Routed>),
 }
@@ -79,7 +114,7 @@
     mut exchange: Exchange<Routed>,
     outlet: &mut outlet::Outlet,
     history: &mut history::History,
-) -> Result<Option<outlet::Whole>, history::End> {
+) -> Result<Served, history::End> {
     let mut standby = None;
     let mut unreached = 0;
     loop {
@@ -111,7 +146,7 @@
                 history.may_have_run = true;
                 history.sends = sent.sends();
                 match attempt(shared, call, sent, ready, &mut standby, outlet, history).await {
-                    Attempted::Done(whole) => return Ok(whole),
+                    Attempted::Done(served) => return Ok(served),
                     Attempted::Again(again) => exchange = again,
                 }
                 history.note(&exchange);
@@ -174,15 +209,12 @@
     let (at_fault, verdict, reason) = match ran {
         Ok(whole) => {
             held.judge(&lead, Verdict::Good);
-            return Attempted::Done(whole);
-        }
-        Err(attempt::Failure::CallerGone) => {
-            shared.metrics.relay.abandoned.inc();
-            return Attempted::Done(None);
+            return Attempted::Done(whole.map_or(Served::Streamed, Served::Whole));
         }
+        Err(attempt::Failure::CallerGone) => return Attempted::Done(Served::Abandoned),
         Err(attempt::Failure::Answered(whole)) if !whole.head.status.is_server_error() => {
             held.judge(&lead, Verdict::Good);
-            return Attempted::Done(Some(whole));
+            return Attempted::Done(Served::Whole(whole));
         }
         Err(attempt::Failure::Answered(whole)) => {
             history.error = Some(whole);
@@ -223,7 +255,7 @@
     exchange: Exchange<Routed>,
     standby: Option<stream::Standby>,
     outlet: &mut outlet::Outlet,
-) -> Option<Option<outlet::Whole>> {
+) -> Option<Served> {
     let mut standby = standby?;
     let mut sent = exchange.go_on(standby.plan);
     let by = tokio::time::Instant::now();
@@ -236,11 +268,8 @@
         .run(shared, call, &mut sent, by, progress, outlet)
         .await;
     match ran {
-        Ok(()) => Some(None),
-        Err(stream::Failure::CallerGone) => {
-            shared.metrics.relay.abandoned.inc();
-            Some(None)
-        }
+        Ok(()) => Some(Served::Streamed),
+        Err(stream::Failure::CallerGone) => Some(Served::Abandoned),
         Err(_) => None,
     }
 }
--- a/limpetkeeld/src/relay/history.rs
+++ b/limpetkeeld/src/relay/history.rs
@@ -37,12 +37,66 @@
     }
 }
 
-fn result_of(reply: Option<&outlet::Reply>) -> &'static str {
-    match reply {
-        None | Some(outlet::Reply::Stream(..)) => "streamed",
-        Some(outlet::Reply::Whole(_)) => "answered",
-        Some(outlet::Reply::Refusal(port::Refusal::NotRun(_))) => "not_run",
-        Some(outlet::Reply::Refusal(_)) => "failed",
+/// What the caller got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// A stream of events, to its end.
+    Streamed,
+    /// The whole answer of an upstream.
+    Answered,
+    /// The statement that the request has not run.
+    NotRun,
+    /// Any other failure.
+    Failed,
+    /// Nothing more: the caller has gone.
+    Abandoned,
+}
+
+impl Ending {
+    /// Returns the ending under a reply.
+    pub fn of(reply: &outlet::Reply) -> Ending {
+        match reply {
+            outlet::Reply::Stream(..) => Ending::Streamed,
+            outlet::Reply::Whole(_) => Ending::Answered,
+            outlet::Reply::Refusal(port::Refusal::NotRun(_)) => Ending::NotRun,
+            outlet::Reply::Refusal(_) => Ending::Failed,
+        }
+    }
+
+    /// Returns the name that counters and logs use.
+    pub fn code(self) -> &'static str {
+        match self {
+            Ending::Streamed => "streamed",
+            Ending::Answered => "answered",
+            Ending::NotRun => "not_run",
+            Ending::Failed => "failed",
+            Ending::Abandoned => "abandoned",
+        }
+    }
+}
+
+/// How long a request took.
+#[derive(Clone, Copy, Debug)]
+pub struct Spans {
+    /// To its end.
+    elapsed: Millis,
+    /// To the first event; nothing if there was none.
+    first: Option<Millis>,
+    /// The longest time between two events.
+    longest_pause: Millis,
+    /// From the last event to the end; nothing if there was none.
+    silent: Option<Millis>,
+}
+
+impl Spans {
+    /// Returns the spans of a request that ends now.
+    pub fn new(now: Timestamp, received: Timestamp, outlet: &outlet::Outlet) -> Spans {
+        Spans {
+            elapsed: now.since(received),
+            first: outlet.first().map(|at| at.since(received)),
+            longest_pause: outlet.longest_pause(),
+            silent: outlet.last().map(|at| now.since(at)),
+        }
     }
 }
 
@@ -89,16 +143,8 @@
     }
 
     /// Logs and counts the end.
-    pub fn record(
-        &self,
-        shared: &shared::Shared,
-        call: &call::Call,
-        received: Timestamp,
-        outlet: &outlet::Outlet,
-        reply: Option<&outlet::Reply>,
-    ) {
-        let result = result_of(reply);
-        let elapsed = shared.clock.now().since(received);
+    pub fn record(&self, shared: &shared::Shared, call: &call::Call, ending: Ending, spans: Spans) {
+        let result = ending.code();
         tracing::info!(
             event = "request_ended",
             request = %call.head.id,
@@ -111,9 +157,10 @@
             last_upstream = self.last.as_ref().map_or("", |name| name.as_str()),
             helpers = self.helpers,
             estimate_ms = self.estimate.0,
-            first_ms = outlet.first().map_or(0, |at| at.since(received).0),
-            longest_pause_ms = outlet.longest_pause().0,
-            elapsed_ms = elapsed.0,
+            first_ms = spans.first.map_or(0, |span| span.0),
+            longest_pause_ms = spans.longest_pause.0,
+            silent_ms = spans.silent.map_or(0, |span| span.0),
+            elapsed_ms = spans.elapsed.0,
         );
         let form = match call.admission.route.form() {
             limpetkeel::Form::Whole => "whole",
@@ -121,6 +168,9 @@
         };
         let relay = &shared.metrics.relay;
         relay.ended.with_label_values(&[form, result]).inc();
+        if ending == Ending::Abandoned {
+            relay.abandoned.inc();
+        }
         if let Some(end) = self.end {
             relay.refused.with_label_values(&[end.code()]).inc();
         }
--- a/limpetkeeld/src/relay/outlet.rs
+++ b/limpetkeeld/src/relay/outlet.rs
@@ -62,6 +62,11 @@
         self.first
     }
 
+    /// Returns when the latest event was passed on.
+    pub fn last(&self) -> Option<Timestamp> {
+        self.last
+    }
+
     /// Returns the longest time between two events.
     pub fn longest_pause(&self) -> Millis {
         self.longest_pause
--- a/standins/src/site/node.rs
+++ b/standins/src/site/node.rs
@@ -204,6 +204,11 @@
         asked.is_ok_and(|res| res.status().is_success())
     }
 
+    /// Returns what the daemons have logged; nothing before the first line.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("limpetkeel-node.log")).unwrap_or_default()
+    }
+
     /// Waits until a daemon is ready.
     ///
     /// # Errors
@@ -213,8 +218,7 @@
         let deadline = time::Instant::now() + PATIENCE;
         while !self.is_ready(node).await {
             if time::Instant::now() > deadline {
-                let log = std::fs::read_to_string(self.folder.join("limpetkeel-node.log"));
-                return Err(site::Error::NotReady(log.unwrap_or_default()));
+                return Err(site::Error::NotReady(self.log()));
             }
             tokio::time::sleep(LOOK).await;
         }
