Probe connections to upstreams, so that a dark one breaks them

The lead of a long prompt went dark 0.2 s after the request arrived there.

The system now probes idle connections (1 s, then each second, two may stay unanswered).

--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to upstreams: one for each request, so that no answer can be taken for another's.
 
-use std::{net, time};
+use std::{io, net, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full};
@@ -16,6 +16,16 @@
 /// An order that is not answered within this time has failed.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
+/// A connection without traffic for this long is probed: the shortest time that the system takes.
+const PROBE_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// The time between two probes, again the shortest.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Probes that may stay unanswered: one may be lost. A dark engine is noticed after three seconds,
+/// before the four for which engines may hold memory that no request uses.
+const MAX_PROBES: u32 = 2;
+
 /// Why nothing came back from an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -75,6 +85,7 @@
             .map_err(|_| Error::NotConnected)?
             .map_err(|_| Error::NotConnected)?;
         stream.set_nodelay(true).map_err(|_| Error::NotConnected)?;
+        probe(&stream).map_err(|_| Error::NotConnected)?;
         let (sender, connection) = http1::handshake(rt::TokioIo::new(stream))
             .await
             .map_err(|_| Error::NotConnected)?;
@@ -101,6 +112,19 @@
     }
 }
 
+/// Has the system probe a connection, so that an upstream that lost power or is cut off breaks it.
+///
+/// # Errors
+///
+/// Fails if the system refuses the options.
+pub fn probe(stream: &tokio::net::TcpStream) -> io::Result<()> {
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(MAX_PROBES);
+    socket2::SockRef::from(stream).set_tcp_keepalive(&probes)
+}
+
 /// Gives an order and returns the status of its answer.
 ///
 /// # Errors
