Divide long prompts by the pauses that their parts cost, and prefer the own zone

At a zone cut, the streams that cross its edge break: about four in nine without a preference.

A long prompt now takes as many engines of the lane as its objective asks, where its parts keep within the pause of the streams that are written there. The own zone is preferred by 25 ms, where it was 2.

Both new tests fail on the code before.

--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -84,6 +84,8 @@
     pub plan: Plan,
     /// The size of the request.
     pub work: work::Work,
+    /// When its answer has its full value.
+    pub objective: ingress::Objective,
     /// The time that is left to the request.
     pub remaining: unit::Millis,
     /// Whether the answer has begun, so that the prompt was read.
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -13,6 +13,7 @@
 mod lane;
 mod ledger;
 mod long;
+mod parts;
 mod upstream;
 
 use std::collections;
@@ -28,8 +29,9 @@
 /// A request whose estimate exceeds this part of its remaining time is refused at once.
 const HOPELESS_SHARE: f64 = 0.9;
 
-/// The preference for the own availability zone, in milliseconds: the round trip to another one.
-const ZONE_MS: f64 = 2.0;
+/// The preference for the own availability zone, in milliseconds: a zone that is cut off breaks all
+/// streams that cross its edge, so a tenth of the shortest objective is well spent.
+const ZONE_MS: f64 = 25.0;
 
 /// What a whole failure rate adds to the estimate of an upstream, in milliseconds.
 const FAILURE_MS: f64 = 1_500.0;
@@ -122,8 +124,16 @@
             let (from, zone) = (&demand.availability_zone, lead.availability_zone());
             self.health.note_trial(now, from, zone);
         }
-        self.enter(now, &plan, demand.work, demand.remaining, false);
-        Ok(plan)
+        let assertion = plan::Assertion {
+            pool: self.pool.clone(),
+            plan,
+            work: demand.work,
+            objective: demand.objective,
+            remaining: demand.remaining,
+            begun: false,
+        };
+        self.enter(now, &assertion);
+        Ok(assertion.plan)
     }
 
     /// Tells whether several engines read a prompt.
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -3,7 +3,7 @@
 use crate::{
     grant, name, plan,
     planner::{self, health, upstream},
-    unit, work,
+    unit,
 };
 
 /// A plan that is not settled lapses this long after its request's deadline.
@@ -22,27 +22,14 @@
 impl planner::Planner {
     /// Enters a plan that another planner made.
     pub fn assert(&mut self, now: unit::Timestamp, assertion: &plan::Assertion) {
-        let plan::Assertion {
-            plan,
-            work,
-            remaining,
-            begun,
-            ..
-        } = assertion;
-        if !self.plans.contains_key(&plan.id) {
-            self.enter(now, plan, *work, *remaining, *begun);
+        if !self.plans.contains_key(&assertion.plan.id) {
+            self.enter(now, assertion);
         }
     }
 
     /// Enters a plan in the ledgers of its upstreams; its reading too, unless its answer has begun.
-    pub(super) fn enter(
-        &mut self,
-        now: unit::Timestamp,
-        plan: &plan::Plan,
-        work: work::Work,
-        remaining: unit::Millis,
-        begun: bool,
-    ) {
+    pub(super) fn enter(&mut self, now: unit::Timestamp, assertion: &plan::Assertion) {
+        let plan::Assertion { plan, work, .. } = assertion;
         let mut reserved = unit::Tokens::ZERO;
         for helper in &plan.helpers {
             if let Some(tokens) = helper.reserve
@@ -58,7 +45,12 @@
             upstream::Length::Short
         };
         if let Some(lead) = self.upstreams.get_mut(&plan.lead.upstream) {
-            lead.write(plan.id, work.memory().saturating_sub(reserved), length);
+            let stream = upstream::Stream {
+                memory: work.memory().saturating_sub(reserved),
+                length,
+                pause: assertion.objective.pause,
+            };
+            lead.write(plan.id, stream);
         }
         let helpers = plan.helpers.iter().map(|helper| &helper.place);
         let places = helpers.chain([&plan.lead]);
@@ -66,7 +58,7 @@
         let part_ms = self
             .timing
             .map_or(0.0, |timing| timing.part_ms(work.prompt, parts.len()));
-        let reading = parts.iter().filter(|_| !begun);
+        let reading = parts.iter().filter(|_| !assertion.begun);
         for name in reading {
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.read(now, part_ms);
@@ -77,7 +69,7 @@
             part_ms,
             planned: now,
             estimate: plan.estimate,
-            lapses: now.after(remaining + LAPSE_GRACE),
+            lapses: now.after(assertion.remaining + LAPSE_GRACE),
         };
         self.plans.insert(plan.id, ledger);
     }
--- a/limpetkeel/src/planner/long.rs
+++ b/limpetkeel/src/planner/long.rs
@@ -2,25 +2,15 @@
 
 use crate::{
     engine, error, grant, plan,
-    planner::{self, LANE_MS, upstream},
+    planner::{self, LANE_MS, parts, upstream},
     unit,
 };
 
-/// The time in which an engine reads one part of a long prompt, in milliseconds. Shorter parts
-/// disturb the streams of the lead less, longer ones need fewer helpers.
-const PART_MS: f64 = 40.0;
-
-/// Helpers that one request may name.
-const MAX_HELPERS: usize = 16;
-
 /// The part of an engine's memory that is planned; the rest absorbs longer answers than usual.
 const MEMORY_PERCENT: u8 = 92;
 
-/// An engine whose failure rate is at least this does not help: one that cannot be reached stalls
-/// the whole request, and others can read its part.
-const SOUND_RATE: f64 = 0.5;
-
-/// What a long prompt pays for each short stream that its part delays, in milliseconds.
+/// What a long prompt pays for each stream of its lead that it delays beyond its pause, in
+/// milliseconds.
 const DISTURBED_MS: f64 = 150.0;
 
 impl planner::Planner {
@@ -36,40 +26,23 @@
         self.resize_lane(now, Some(timing));
         let room = timing.memory().percent(MEMORY_PERCENT);
         let (lead, fits) = self.choose_lead(now, timing, demand, room)?;
-        let mut lane: Vec<_> = self
-            .candidates(now, demand)
-            .filter(|upstream| self.lane.holds(upstream.name()))
-            .filter(|upstream| *upstream.name() != lead.upstream)
-            .filter(|upstream| self.health.failure_rate(now, upstream.name()) < SOUND_RATE)
-            .collect();
-        lane.sort_by(|a, b| a.backlog(now).total_cmp(&b.backlog(now)));
         let reserved = if fits {
             Vec::new()
         } else {
-            self.reservations(&lane, demand, room)?
+            self.reservations(now, &lead, demand, room)?
         };
-        let parts = (timing.read_ms(prompt) / PART_MS).ceil() as usize;
-        let count = parts.clamp(2, MAX_HELPERS + 1) - 1;
-        let mut helpers = reserved;
-        for upstream in lane {
-            if helpers.len() >= count {
-                break;
-            }
-            let place = upstream.place();
-            // An engine takes one part of a prompt only.
-            if !helpers.iter().any(|helper| helper.place == place) {
-                helpers.push(plan::Helper {
-                    place,
-                    reserve: None,
-                });
-            }
-        }
-        let estimate = self.reading_ms(now, timing, prompt, &lead, &helpers);
+        let job = parts::Job {
+            prompt,
+            objective: demand.objective,
+            lead: &lead,
+            reserved,
+        };
+        let team = self.choose_helpers(now, timing, demand, job);
         Ok(plan::Plan {
             id: demand.id,
             lead,
-            helpers,
-            estimate: unit::Millis(estimate as u64),
+            helpers: team.helpers,
+            estimate: unit::Millis(team.finish_ms as u64),
         })
     }
 
@@ -97,54 +70,45 @@
             .ok_or_else(|| error::Error::NoUpstream(self.pool.clone()))
     }
 
-    /// Divides a prompt that the lead cannot hold among as few engines as possible.
+    /// Divides a prompt that the lead cannot hold among as few engines of the lane as possible.
+    ///
+    /// Its parts are large, so that they would stop all streams of other engines.
     fn reservations(
         &self,
-        lane: &[&upstream::Upstream],
+        now: unit::Timestamp,
+        lead: &grant::Place,
         demand: &plan::Demand,
         room: unit::Tokens,
     ) -> error::Result<Vec<plan::Helper>> {
+        let mut lane = self.sound(now, lead, demand);
+        lane.retain(|upstream| self.lane.holds(upstream.name()));
         let prompt = demand.work.prompt;
-        let mut by_room: Vec<_> = lane.to_vec();
-        by_room.sort_by_key(|upstream| std::cmp::Reverse(upstream.free(room)));
-        let fewest = prompt.0.div_ceil(room.0.max(1)).max(1) as usize;
-        for count in fewest..=by_room.len().min(MAX_HELPERS) {
-            let share = unit::Tokens(prompt.0.div_ceil(count as u64));
-            if by_room[count - 1].free(room) >= share {
-                let chosen = by_room.iter().take(count);
-                return Ok(chosen
-                    .map(|upstream| plan::Helper {
-                        place: upstream.place(),
-                        reserve: Some(share),
-                    })
-                    .collect());
+        divide(prompt, lane, room).ok_or_else(|| {
+            let whole = unit::Tokens(room.0 * self.upstreams.len() as u64);
+            if prompt > whole {
+                error::Error::PromptTooLong(whole)
+            } else {
+                error::Error::NoMemory
             }
-        }
-        let whole = unit::Tokens(room.0 * self.upstreams.len() as u64);
-        if prompt > whole {
-            return Err(error::Error::PromptTooLong(whole));
-        }
-        Err(error::Error::NoMemory)
+        })
     }
+}
 
-    /// Returns when a long prompt will be read by all its engines, in milliseconds.
-    fn reading_ms(
-        &self,
-        now: unit::Timestamp,
-        timing: &engine::Timing,
-        prompt: unit::Tokens,
-        lead: &grant::Place,
-        helpers: &[plan::Helper],
-    ) -> f64 {
-        let part = timing.part_ms(prompt, helpers.len() + 1);
-        let helping = helpers
-            .iter()
-            .filter_map(|helper| self.upstreams.get(&helper.place.upstream))
-            .map(|upstream| upstream.backlog(now));
-        let leading = self
-            .upstreams
-            .get(&lead.upstream)
-            .map(|upstream| upstream.estimate(now, Some(timing), Default::default()));
-        part + helping.chain(leading).fold(0.0, f64::max)
-    }
+/// Divides a prompt among the fewest engines that have the room.
+fn divide(
+    prompt: unit::Tokens,
+    mut engines: Vec<&upstream::Upstream>,
+    room: unit::Tokens,
+) -> Option<Vec<plan::Helper>> {
+    engines.sort_by_key(|upstream| std::cmp::Reverse(upstream.free(room)));
+    let fewest = prompt.0.div_ceil(room.0.max(1)).max(1) as usize;
+    let counts = fewest..=engines.len().min(parts::MAX_HELPERS);
+    let share = |count: usize| unit::Tokens(prompt.0.div_ceil(count as u64));
+    let mut fitting = counts.filter(|count| engines[count - 1].free(room) >= share(*count));
+    let count = fitting.next()?;
+    let helpers = engines.iter().take(count).map(|upstream| plan::Helper {
+        place: upstream.place(),
+        reserve: Some(share(count)),
+    });
+    Some(helpers.collect())
 }
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -16,10 +16,14 @@
     Long,
 }
 
+/// A request that is written, or will be when it is read.
 #[derive(Clone, Copy, Debug)]
-struct Stream {
-    memory: unit::Tokens,
-    length: Length,
+pub(super) struct Stream {
+    /// The memory that it takes when it is complete.
+    pub(super) memory: unit::Tokens,
+    pub(super) length: Length,
+    /// The longest pause between events with which its answer has its full value.
+    pub(super) pause: unit::Millis,
 }
 
 #[derive(Debug)]
@@ -99,6 +103,34 @@
         streams.filter(|stream| stream.length == length).count()
     }
 
+    /// Returns the time of the next pass with all reading that is planned, in milliseconds.
+    pub(super) fn pass_ms(&self, now: unit::Timestamp, timing: &engine::Timing) -> f64 {
+        timing.pass_ms(self.streams(), self.memory) + self.backlog(now)
+    }
+
+    /// Returns what is left of the present pass on average, in milliseconds.
+    pub(super) fn present_ms(&self, timing: &engine::Timing) -> f64 {
+        if self.writes.is_empty() {
+            0.0
+        } else {
+            timing.pass_ms(self.streams(), self.memory) / 2.0
+        }
+    }
+
+    /// Returns the streams that a pass would delay beyond their pause if it read for `ms` more.
+    pub(super) fn delayed_by(
+        &self,
+        now: unit::Timestamp,
+        timing: &engine::Timing,
+        ms: f64,
+    ) -> usize {
+        let pass = self.pass_ms(now, timing) + ms;
+        let streams = self.writes.values();
+        streams
+            .filter(|stream| stream.pause.0 as f64 <= pass)
+            .count()
+    }
+
     /// Returns the memory that is left of `room`.
     pub(super) fn free(&self, room: unit::Tokens) -> unit::Tokens {
         room.saturating_sub(self.memory)
@@ -123,12 +155,8 @@
             return self.streams() as f64 / slots as f64 * FULL_MS + waiting;
         };
         let pass = timing.pass_ms(self.streams(), self.memory);
-        // On average half of the present pass is left; the prompt is read in the next one.
-        let present = if self.writes.is_empty() {
-            0.0
-        } else {
-            pass / 2.0
-        };
+        // The prompt is read in the next pass.
+        let present = self.present_ms(timing);
         let lacking = work.memory().saturating_sub(self.free(timing.memory()));
         let memory_ms = if lacking.0 > 0 { FULL_MS } else { 0.0 };
         present
@@ -150,10 +178,10 @@
         self.reads_until = (self.reads_until - ms).max(now.0 as f64);
     }
 
-    /// Adds a stream and the memory that it takes when it is complete.
-    pub(super) fn write(&mut self, id: grant::RequestId, memory: unit::Tokens, length: Length) {
-        self.memory += memory;
-        self.writes.insert(id, Stream { memory, length });
+    /// Adds a stream.
+    pub(super) fn write(&mut self, id: grant::RequestId, stream: Stream) {
+        self.memory += stream.memory;
+        self.writes.insert(id, stream);
     }
 
     /// Sets memory aside for a part of a prompt.
--- a/limpetkeel/tests/planner.rs
+++ b/limpetkeel/tests/planner.rs
@@ -318,6 +318,7 @@
             pool: demand.pool.clone(),
             plan,
             work: demand.work,
+            objective: demand.objective,
             remaining: demand.remaining,
             begun: false,
         };
@@ -378,3 +379,46 @@
     assert!((whole - (500.0 + 700.0)).abs() < 1e-6, "{whole}");
     assert!((timing.part_ms(Tokens(100_000), 8) - whole / 8.0).abs() < 1e-6);
 }
+
+/// Returns the number of engines with short streams that read a part of a prompt.
+fn disturbed(prompt: u64) -> usize {
+    let mut planner = planner(20);
+    let mut streams = std::collections::BTreeSet::new();
+    for id in 0..60 {
+        let plan = planner
+            .plan(Timestamp(0), &demand(id, 1_000))
+            .expect("plan");
+        planner.begun(Timestamp(0), plan.id);
+        streams.insert(plan.lead.upstream);
+    }
+    // A burst of long prompts, whose callers leave at once, widens the lane to these engines.
+    for id in 100..120 {
+        let burst = planner.plan(Timestamp(500), &demand(id, 100_000));
+        let burst = burst.expect("plan");
+        let lead = burst.lead.upstream.as_str().to_owned();
+        settle(&mut planner, 500, &burst, &lead, Verdict::Unjudged);
+    }
+    let mut demand = demand(200, prompt);
+    demand.objective.first = Millis(10_000);
+    let plan = planner.plan(Timestamp(500), &demand).expect("plan");
+    assert!(!plan.helpers.is_empty());
+    let helpers = plan.helpers.iter().map(|helper| &helper.place.upstream);
+    helpers.filter(|name| streams.contains(*name)).count()
+}
+
+#[test]
+fn parts_are_read_beside_short_streams_only_within_their_pause() {
+    assert!(disturbed(150_000) > 0, "small parts delay nobody");
+    assert_eq!(disturbed(180_000), 0, "those of a longer prompt would");
+}
+
+#[test]
+fn work_stays_in_its_zone_while_another_one_is_not_much_faster() {
+    let mut planner = planner(12);
+    // One of the four engines of the zone is in the lane; the others take two each.
+    for id in 0..6 {
+        let plan = planner.plan(Timestamp(0), &demand(id, 500)).expect("plan");
+        let index: usize = plan.lead.upstream.as_str()[1..].parse().expect("index");
+        assert_eq!(index % 3, 0, "{plan:?}");
+    }
+}
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -127,6 +127,7 @@
             pool: demand.pool.clone(),
             plan: plan.clone(),
             work: demand.work,
+            objective: demand.objective,
             remaining: demand.remaining,
             begun: false,
         },
