Form the lane of the engines that a zone can reach

Long prompts were read by their leads, beside all short streams of the zone.

The test fails on the code before: 'others read for the lead'.

--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -150,7 +150,7 @@
         timing: Option<&engine::Timing>,
         demand: &plan::Demand,
     ) -> error::Result<plan::Plan> {
-        self.resize_lane(now, timing);
+        self.resize_lane(now, timing, &demand.availability_zone);
         let cost = |upstream: &upstream::Upstream| {
             let cost = upstream.estimate(now, timing, demand.work);
             let in_lane = self.lane.holds(upstream.name());
@@ -176,10 +176,19 @@
         })
     }
 
-    fn resize_lane(&mut self, now: unit::Timestamp, timing: Option<&engine::Timing>) {
-        if let Some(timing) = timing {
-            self.lane.resize(now, timing, &self.upstreams);
-        }
+    fn resize_lane(
+        &mut self,
+        now: unit::Timestamp,
+        timing: Option<&engine::Timing>,
+        zone: &name::AvailabilityZoneName,
+    ) {
+        let Some(timing) = timing else {
+            return;
+        };
+        let upstreams = self.upstreams.iter();
+        let reachable = upstreams.filter(|(_, u)| self.health.reaches(now, zone, u));
+        let reachable: lane::Reachable<'_> = reachable.collect();
+        self.lane.resize(now, timing, &reachable);
     }
 
     /// Lists the upstreams that can be reached and have not failed the request; if all have,
--- a/limpetkeel/src/planner/lane.rs
+++ b/limpetkeel/src/planner/lane.rs
@@ -30,6 +30,10 @@
 /// What a place later in the order weighs against a short stream, when the lane takes an engine.
 const RANK_WEIGHT: f64 = 0.1;
 
+/// The engines that the requests of one zone can reach.
+pub(super) type Reachable<'a> =
+    collections::BTreeMap<&'a name::UpstreamName, &'a upstream::Upstream>;
+
 #[derive(Debug, Default)]
 pub(super) struct Lane {
     order: Vec<name::UpstreamName>,
@@ -79,75 +83,60 @@
     }
 
     /// Fits the lane to the demand: at once when it grows, step by step when it shrinks.
+    ///
+    /// Only engines that can be reached count, so that a zone that is cut off has a lane of its own.
     pub(super) fn resize(
         &mut self,
         now: unit::Timestamp,
         timing: &engine::Timing,
-        upstreams: &collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
+        reachable: &Reachable<'_>,
     ) {
         self.forget(now);
-        let all = self.order.len();
-        let backlog: f64 = self
-            .members
-            .iter()
-            .filter_map(|name| upstreams.get(name))
-            .map(|upstream| upstream.backlog(now))
-            .sum();
-        let streams: usize = upstreams.values().map(upstream::Upstream::streams).sum();
+        let all = reachable.len();
+        let members = || self.members.iter().filter_map(|name| reachable.get(name));
+        let size = members().count();
+        let backlog: f64 = members().map(|upstream| upstream.backlog(now)).sum();
+        let streams: usize = reachable.values().map(|upstream| upstream.streams()).sum();
         let writers = (streams as f64 / (timing.slots() as f64 * STREAM_SHARE)).ceil() as usize;
         let outside = writers.max((all as f64 * OUTSIDE_SHARE).ceil() as usize);
         let most = all.saturating_sub(outside);
         let least = ((all as f64 * LEAST_SHARE).ceil() as usize).min(most);
         let wanted = (self.demand * HEADROOM + backlog / BACKLOG_MS).ceil() as usize;
         let target = wanted.clamp(least, most.max(least));
-        while self.members.len() < target {
-            let Some(name) = self.next_member(upstreams) else {
+        for _ in size..target {
+            let Some(name) = self.next_member(reachable) else {
                 return;
             };
             self.members.insert(name);
         }
-        if self.members.len() > target && now.since(self.shrunk) >= SHRINK_INTERVAL {
+        if size > target && now.since(self.shrunk) >= SHRINK_INTERVAL {
             self.shrunk = now;
-            self.give_back(now, upstreams);
+            self.give_back(now, reachable);
         }
     }
 
     /// Returns the engine that joins next: the one whose streams suffer least, early in the order
     /// where that is equal, so that planners that know little choose alike.
-    fn next_member(
-        &self,
-        upstreams: &collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
-    ) -> Option<name::UpstreamName> {
+    fn next_member(&self, reachable: &Reachable<'_>) -> Option<name::UpstreamName> {
         let ranked = self.order.iter().enumerate();
         let free = ranked.filter(|(_, name)| !self.members.contains(*name));
-        let cost = |rank: usize, name: &name::UpstreamName| {
-            let streams = upstreams.get(name).map_or(0, upstream::Upstream::streams);
-            streams as f64 + rank as f64 * RANK_WEIGHT
+        let free = free.filter_map(|(rank, name)| Some((rank, reachable.get(name)?)));
+        let cost = |rank: usize, upstream: &upstream::Upstream| {
+            upstream.streams() as f64 + rank as f64 * RANK_WEIGHT
         };
         free.min_by(|(a, x), (b, y)| cost(*a, x).total_cmp(&cost(*b, y)))
-            .map(|(_, name)| name.clone())
+            .map(|(_, upstream)| upstream.name().clone())
     }
 
     /// Gives back the engine that has least to read, unless all are busy.
-    fn give_back(
-        &mut self,
-        now: unit::Timestamp,
-        upstreams: &collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
-    ) {
-        let backlog = |name: &name::UpstreamName| {
-            upstreams
-                .get(name)
-                .map_or(0.0, |upstream| upstream.backlog(now))
-        };
-        let idlest = self
-            .order
-            .iter()
-            .rev()
-            .filter(|name| self.members.contains(*name))
-            .min_by(|a, b| backlog(a).total_cmp(&backlog(b)))
-            .cloned();
+    fn give_back(&mut self, now: unit::Timestamp, reachable: &Reachable<'_>) {
+        let members = self.order.iter().rev();
+        let members = members.filter(|name| self.members.contains(*name));
+        let idlest = members
+            .filter_map(|name| reachable.get(name))
+            .min_by(|a, b| a.backlog(now).total_cmp(&b.backlog(now)));
         if let Some(idlest) = idlest {
-            self.members.remove(&idlest);
+            self.members.remove(idlest.name());
         }
     }
 }
--- a/limpetkeel/src/planner/long.rs
+++ b/limpetkeel/src/planner/long.rs
@@ -23,7 +23,7 @@
     ) -> error::Result<plan::Plan> {
         let prompt = demand.work.prompt;
         self.lane.note(now, timing.read_ms(prompt));
-        self.resize_lane(now, Some(timing));
+        self.resize_lane(now, Some(timing), &demand.availability_zone);
         let room = timing.memory().percent(MEMORY_PERCENT);
         let (lead, fits) = self.choose_lead(now, timing, demand, room)?;
         let reserved = if fits {
--- a/limpetkeel/tests/planner.rs
+++ b/limpetkeel/tests/planner.rs
@@ -422,3 +422,25 @@
         assert_eq!(index % 3, 0, "{plan:?}");
     }
 }
+
+#[test]
+fn a_zone_that_is_cut_off_has_readers_and_writers_of_its_own() {
+    let mut planner = planner(12);
+    for (id, lost) in ["e01", "e04", "e02", "e05"].into_iter().enumerate() {
+        let plan = planner
+            .plan(Timestamp(0), &demand(id as u64, 1_000))
+            .expect("plan");
+        settle(&mut planner, 0, &plan, lost, Verdict::Unreachable);
+    }
+    // All of these are short of time, so that the lane is as large as it may be.
+    for id in 10..20 {
+        let long = planner.plan(Timestamp(0), &demand(id, 60_000));
+        let long = long.expect("plan");
+        assert!(!long.helpers.is_empty(), "others read for the lead");
+        let helpers = long.helpers.iter().map(|helper| &helper.place);
+        for place in helpers.chain([&long.lead]) {
+            let index: usize = place.upstream.as_str()[1..].parse().expect("index");
+            assert_eq!(index % 3, 0, "{long:?}");
+        }
+    }
+}
