Leave what was not reached lately out of long work

A miss also counted as a good answer in the failure rate, and a failed trial of a zone renewed one upstream only. Long work now waits for short work to reach a zone again, a failed trial renews the whole zone, and a miss leaves the failure rate as it is.

--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -186,7 +186,7 @@
             return;
         };
         let upstreams = self.upstreams.iter();
-        let reachable = upstreams.filter(|(_, u)| self.health.reaches(now, zone, u));
+        let reachable = upstreams.filter(|(_, u)| self.health.trusts(now, zone, u));
         let reachable: lane::Reachable<'_> = reachable.collect();
         self.lane.resize(now, timing, &reachable);
     }
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -14,6 +14,10 @@
 /// connection may take.
 const TRIAL: unit::Millis = unit::Millis(300);
 
+/// After the last miss, long work leaves a zone or an upstream out for this much longer unless short
+/// work has reached it: a helper that cannot be reached stalls its lead for more than a second.
+const DISTRUST: unit::Millis = unit::Millis(6_000);
+
 /// A failure rate halves in this long, so that a recovered upstream is tried again.
 const HALF_LIFE_MS: f64 = 2_500.0;
 
@@ -47,8 +51,8 @@
         match verdict {
             plan::Verdict::Unjudged => return,
             plan::Verdict::Unreachable => {
-                let missed = self.missed.entry(pair).or_default();
-                missed.insert(seen.upstream.clone(), now.after(UNREACHABLE));
+                self.miss(now, pair, seen.upstream);
+                return;
             }
             _ => {
                 self.missed.remove(&pair);
@@ -63,6 +67,16 @@
         self.rates.insert(seen.upstream.clone(), (rate, now));
     }
 
+    /// Notes that an upstream was not reached. A zone that was cut off and is tried in vain stays so.
+    fn miss(&mut self, now: unit::Timestamp, pair: Pair, upstream: &name::UpstreamName) {
+        let until = now.after(UNREACHABLE);
+        let missed = self.missed.entry(pair).or_default();
+        if missed.len() >= CUT_AFTER {
+            missed.values_mut().for_each(|earlier| *earlier = until);
+        }
+        missed.insert(upstream.clone(), until);
+    }
+
     /// Leaves a zone that was cut off to the request that tries it now.
     pub(super) fn note_trial(
         &mut self,
@@ -94,12 +108,34 @@
         now: unit::Timestamp,
         from: &name::AvailabilityZoneName,
         upstream: &upstream::Upstream,
+    ) -> bool {
+        self.answered(now, unit::Millis::ZERO, from, upstream)
+    }
+
+    /// Tells whether long work from a zone may rely on an upstream.
+    pub(super) fn trusts(
+        &self,
+        now: unit::Timestamp,
+        from: &name::AvailabilityZoneName,
+        upstream: &upstream::Upstream,
+    ) -> bool {
+        self.answered(now, DISTRUST, from, upstream)
+    }
+
+    /// Tells whether no miss of an upstream, or of its zone, is so recent that it counts, or became
+    /// irrelevant less than `longer` ago.
+    fn answered(
+        &self,
+        now: unit::Timestamp,
+        longer: unit::Millis,
+        from: &name::AvailabilityZoneName,
+        upstream: &upstream::Upstream,
     ) -> bool {
         let pair = (from.clone(), upstream.availability_zone().clone());
         let Some(missed) = self.missed.get(&pair) else {
             return true;
         };
-        let current = missed.iter().filter(|(_, until)| **until > now);
+        let current = missed.iter().filter(|(_, until)| until.after(longer) > now);
         let cut = current.clone().count() >= CUT_AFTER && pair.0 != pair.1;
         !cut && !current.into_iter().any(|(name, _)| name == upstream.name())
     }
--- a/limpetkeel/src/planner/long.rs
+++ b/limpetkeel/src/planner/long.rs
@@ -13,6 +13,10 @@
 /// milliseconds.
 const DISTURBED_MS: f64 = 150.0;
 
+/// What a long prompt pays for a lead that was not reached lately, in milliseconds: more than for
+/// any other fault, but not more than for being refused.
+const DISTRUSTED_MS: f64 = 10_000.0;
+
 impl planner::Planner {
     /// Plans a prompt that the engines of the lane read for a lead that writes.
     pub(super) fn plan_long(
@@ -55,6 +59,7 @@
         room: unit::Tokens,
     ) -> error::Result<(grant::Place, bool)> {
         let fits = |upstream: &upstream::Upstream| upstream.free(room) >= demand.work.memory();
+        let zone = &demand.availability_zone;
         let cost = |upstream: &upstream::Upstream| {
             let in_lane = self.lane.holds(upstream.name());
             let disturbed = upstream.streams_of(upstream::Length::Short);
@@ -62,6 +67,11 @@
             pass + self.distance(now, upstream, demand)
                 + disturbed as f64 * DISTURBED_MS
                 + if fits(upstream) { 0.0 } else { 10.0 * LANE_MS }
+                + if self.health.trusts(now, zone, upstream) {
+                    0.0
+                } else {
+                    DISTRUSTED_MS
+                }
                 + if in_lane { LANE_MS } else { 0.0 }
         };
         self.candidates(now, demand)
--- a/limpetkeel/src/planner/parts.rs
+++ b/limpetkeel/src/planner/parts.rs
@@ -59,8 +59,10 @@
         lead: &grant::Place,
         demand: &'a plan::Demand,
     ) -> Vec<&'a upstream::Upstream> {
+        let zone = &demand.availability_zone;
         self.candidates(now, demand)
             .filter(|upstream| *upstream.name() != lead.upstream)
+            .filter(|upstream| self.health.trusts(now, zone, upstream))
             .filter(|upstream| self.health.failure_rate(now, upstream.name()) < SOUND_RATE)
             .collect()
     }
