Choose the lead of a long prompt by the pauses that its part costs

A lead paid 150 ms for each short stream, whatever it was to read there.

A lead now pays 150 ms for each stream that a sixth of its prompt would delay beyond its pause, and 75 ms for each short stream beside it.

The test fails on the code before for the prompt whose part fits into a pass.

--- a/limpetkeel/src/planner/long.rs
+++ b/limpetkeel/src/planner/long.rs
@@ -9,9 +9,13 @@
 /// The part of an engine's memory that is planned; the rest absorbs longer answers than usual.
 const MEMORY_PERCENT: u8 = 92;
 
-/// What a long prompt pays for each stream of its lead that it delays beyond its pause, in
-/// milliseconds.
-const DISTURBED_MS: f64 = 150.0;
+/// The parts of a prompt that its lead is chosen for: a lane of usual size outside of bursts, since
+/// a smaller lane means larger parts.
+const FEW_PARTS: usize = 6;
+
+/// What a long prompt pays for each short stream beside which it is written, in milliseconds: half of
+/// what a delayed stream costs, since other long prompts follow it there.
+const BESIDE_MS: f64 = 75.0;
 
 /// What a long prompt pays for a lead that was not reached lately, in milliseconds: more than for
 /// any other fault, but not more than for being refused.
@@ -60,12 +64,15 @@
     ) -> error::Result<(grant::Place, bool)> {
         let fits = |upstream: &upstream::Upstream| upstream.free(room) >= demand.work.memory();
         let zone = &demand.availability_zone;
+        let part = timing.part_ms(demand.work.prompt, FEW_PARTS);
         let cost = |upstream: &upstream::Upstream| {
             let in_lane = self.lane.holds(upstream.name());
-            let disturbed = upstream.streams_of(upstream::Length::Short);
+            let delayed = upstream.delayed_by(now, timing, part) as f64;
+            let beside = upstream.streams_of(upstream::Length::Short) as f64;
             let pass = upstream.estimate(now, Some(timing), Default::default());
             pass + self.distance(now, upstream, demand)
-                + disturbed as f64 * DISTURBED_MS
+                + delayed * parts::DELAYED_MS
+                + beside * BESIDE_MS
                 + if fits(upstream) { 0.0 } else { 10.0 * LANE_MS }
                 + if self.health.trusts(now, zone, upstream) {
                     0.0
--- a/limpetkeel/src/planner/parts.rs
+++ b/limpetkeel/src/planner/parts.rs
@@ -17,7 +17,7 @@
 const SOUND_RATE: f64 = 0.5;
 
 /// What a long prompt pays for each stream that its part delays beyond its pause, in milliseconds.
-const DELAYED_MS: f64 = 150.0;
+pub(super) const DELAYED_MS: f64 = 150.0;
 
 /// What each further part costs, in milliseconds: an engine may fail, and a pass takes a while even
 /// if it reads little.
--- a/limpetkeel/tests/planner.rs
+++ b/limpetkeel/tests/planner.rs
@@ -444,3 +444,23 @@
         }
     }
 }
+
+#[test_case(40_000, true; "whose part fits into a pass")]
+#[test_case(130_000, false; "whose part would delay them")]
+fn a_prompt_is_led_among_short_streams(prompt: u64, among: bool) {
+    let mut planner = planner(12);
+    let mut streams = std::collections::BTreeSet::new();
+    for id in 0..30 {
+        // Callers of all zones, so that all engines outside of the lane have their share.
+        let mut demand = demand(id, 500);
+        demand.availability_zone = ["x", "y", "z"][id as usize % 3].try_into().expect("name");
+        let plan = planner.plan(Timestamp(0), &demand).expect("plan");
+        planner.begun(Timestamp(0), plan.id);
+        streams.insert(plan.lead.upstream);
+    }
+    assert_eq!(streams.len(), 10, "two engines are in the lane");
+    let plan = planner
+        .plan(Timestamp(500), &demand(100, prompt))
+        .expect("plan");
+    assert_eq!(streams.contains(&plan.lead.upstream), among, "{plan:?}");
+}
