--- a/standins/src/site/table.rs
+++ b/standins/src/site/table.rs
@@ -19,6 +19,9 @@
     pub timeout_ms: u64,
     /// Paths of further idempotent routes.
     pub extra: Vec<String>,
+    /// The memory of each upstream in tokens, if they are engines that read a token in a
+    /// millisecond.
+    pub memory: Option<u64>,
 }
 
 impl Default for Table {
@@ -28,6 +31,7 @@
             keys: vec![KEY.to_owned()],
             timeout_ms: 3_000,
             extra: Vec::new(),
+            memory: None,
         }
     }
 }
@@ -54,10 +58,18 @@
         ];
         let extra = self.extra.iter().map(|name| route(name, "idempotent", 2));
         routes.extend(extra);
+        let engine = self.memory.map(|memory| {
+            serde_json::json!({
+                "slots": 6, "kv_capacity_tokens": memory, "stride": 10, "step_ms": 1.0,
+                "per_seq_ms": 0.0, "context_per_k": 0.0, "read_per_s": 1000.0,
+            })
+        });
         let table = serde_json::json!({
             "version": self.version,
             "routes": routes,
-            "services": [{ "name": "desk", "health_path": "/health", "max_conns": 100 }],
+            "services": [{
+                "name": "desk", "health_path": "/health", "max_conns": 100, "engine": engine,
+            }],
             "limits": {
                 "max_header_bytes": 16384, "max_body_bytes": 100_000,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
