--- a/limpetkeelctl/src/command.rs
+++ b/limpetkeelctl/src/command.rs
@@ -12,36 +12,17 @@
     tables,
 };
 
-/// Which table a command edits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Table {
-    /// The routes.
-    Route,
-    /// The pools.
-    Pool,
-}
-
-impl Table {
-    /// Returns the word that commands use.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Table::Route => "route",
-            Table::Pool => "pool",
-        }
-    }
-}
-
 /// What to do.
 #[derive(Debug)]
 pub enum Command {
     /// Lists the entries of a table.
-    List(Table),
+    List(tables::Table),
     /// Shows an entry.
-    Get(Table, String),
+    Get(tables::Table, String),
     /// Adds or replaces an entry from a file.
-    Put(Table, String, String),
+    Put(tables::Table, String, String),
     /// Removes an entry.
-    Delete(Table, String),
+    Delete(tables::Table, String),
     /// Shows what a file would change.
     Plan(String),
     /// Replaces both tables, and waits until the change is in force.
@@ -108,8 +89,8 @@
     fn parse(words: &[String], wait: Option<time::Duration>) -> Result<Command> {
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
         let table = match words.first() {
-            Some(&"route") => Some(Table::Route),
-            Some(&"pool") => Some(Table::Pool),
+            Some(&"route") => Some(tables::Table::Route),
+            Some(&"pool") => Some(tables::Table::Pool),
             _ => None,
         };
         match (table, &words[..]) {
--- a/limpetkeelctl/src/tables.rs
+++ b/limpetkeelctl/src/tables.rs
@@ -5,10 +5,26 @@
 use limpetkeel::{Change, Declarations, Revision};
 use limpetkeeld::platform;
 
-use crate::{
-    command::Table,
-    error::{Error, Result},
-};
+use crate::error::{Error, Result};
+
+/// Which table a command edits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Table {
+    /// The routes.
+    Route,
+    /// The pools.
+    Pool,
+}
+
+impl Table {
+    /// Returns the word that commands use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Table::Route => "route",
+            Table::Pool => "pool",
+        }
+    }
+}
 
 /// What a change did or would do.
 #[derive(Debug, serde::Serialize)]
