--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -6,6 +6,7 @@
 mod config;
 mod control;
 pub mod process;
+mod range;
 
 use std::{collections, fmt, fs, io, net, path, time};
 
@@ -24,9 +25,6 @@
 const FIRST_ENGINE: u8 = 100;
 const FIRST_SERVICE: u8 = 200;
 
-const CLAIM_ZONE: u8 = 252;
-const CLAIM_PORT: u16 = 4999;
-
 /// The zone number of the platform.
 pub const PLATFORM_ZONE: u8 = 250;
 
@@ -129,39 +127,7 @@
     relay: Option<Process>,
     http: reqwest::Client,
     /// Fields are dropped in this order, and the addresses are free only when all processes ended.
-    range: Range,
-}
-
-/// The loopback addresses of one fleet.
-struct Range {
-    number: u8,
-    /// Held open so that no other fleet takes the range.
-    _claim: net::TcpListener,
-}
-
-impl Range {
-    fn claim() -> Result<Range> {
-        let start = (std::process::id() % 200) as u8;
-        for step in 0..200 {
-            let number = 20 + (start + step) % 200;
-            let claim = net::TcpListener::bind(address_of(number, CLAIM_ZONE, 1, CLAIM_PORT));
-            if let Ok(claim) = claim {
-                return Ok(Range {
-                    number,
-                    _claim: claim,
-                });
-            }
-        }
-        Err(Error::NoAddresses)
-    }
-
-    fn at(&self, zone: u8, host: u8, port: u16) -> net::SocketAddr {
-        address_of(self.number, zone, host, port)
-    }
-}
-
-fn address_of(range: u8, zone: u8, host: u8, port: u16) -> net::SocketAddr {
-    (net::Ipv4Addr::new(127, range, zone, host), port).into()
+    range: range::Range,
 }
 
 impl Fleet {
@@ -171,7 +137,7 @@
     ///
     /// Fails if a process cannot be started or does not answer.
     pub async fn start(config: Config) -> Result<Fleet> {
-        let range = Range::claim()?;
+        let range = range::Range::claim()?;
         let folder = std::env::temp_dir().join(format!(
             "limpetkeel-{}-{}",
             std::process::id(),
@@ -204,7 +170,7 @@
 
     /// Returns the address that is held as long as the fleet's range of addresses is taken.
     pub fn claim(&self) -> net::SocketAddr {
-        self.range.at(CLAIM_ZONE, 1, CLAIM_PORT)
+        self.range.claimed()
     }
 
     /// Returns the address of the platform.
