Hand held plans over as soon as another planner answers

A new planner heard of the plans that instances hold up to 200 ms after its first answer, and formed its lane without them.

--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -137,8 +137,12 @@
     let answered = planner.unwrap_or_else(|| own(shared));
     let mut requests = shared.requests.lock();
     requests.plans.insert(plan.id, held);
-    requests.answered.insert(demand.pool.clone(), answered);
+    let name = answered.name.clone();
+    let before = requests.answered.insert(demand.pool.clone(), answered);
     drop(requests);
+    if before.is_none_or(|before| before.name != name) {
+        shared.planner_changed.notify_one();
+    }
     let settlement = unjudged(shared, &demand.pool, &plan, false);
     let held = Held {
         shared: shared.clone(),
@@ -194,7 +198,9 @@
 /// A planner that takes over knows nothing of what others planned; this tells it.
 pub async fn run_asserts(shared: sync::Arc<shared::Shared>) {
     loop {
-        tokio::time::sleep(ASSERT_INTERVAL).await;
+        let changed = shared.planner_changed.notified();
+        // An elapsed time is seen by the next look.
+        let _ = tokio::time::timeout(ASSERT_INTERVAL, changed).await;
         for (planner, assertions) in moved(&shared) {
             if shared.is_own(&planner) {
                 shared.jobs.submit(jobs::Job::Assert(assertions));
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -97,6 +97,8 @@
     pub jobs: jobs::Queue,
     /// Tells of each new revision, and of failures to follow.
     pub changed: Notify,
+    /// Tells that another planner than before answered.
+    pub planner_changed: Notify,
     /// Cancelled when the instance starts to leave.
     pub leaving: CancellationToken,
     /// Cancelled when no new connection is taken any more.
@@ -147,6 +149,7 @@
             metrics,
             jobs,
             changed: Notify::new(),
+            planner_changed: Notify::new(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             in_force: Ordered::new(Level::Tables, InForce::default()),
