Look at each reader of a long prompt once

Found on reading the change again: the engines of the lane that may help were listed twice for a prompt with reservations, and filtered by the lane at both places; their waits were worked out anew for each number of parts, their harm twice; and each plan, of a short request too, built a map of all engines that the zone reaches. The list is made once, a reader carries its wait, and the lane asks whether an engine is reached, at once where nothing was missed. Two functions were called divide; ten times the cost of the lane has a name.

--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -185,9 +185,11 @@
         let Some(timing) = timing else {
             return;
         };
-        let upstreams = self.upstreams.iter();
-        let reachable = upstreams.filter(|(_, u)| self.health.trusts(now, zone, u));
-        let reachable: lane::Reachable<'_> = reachable.collect();
+        let health = &self.health;
+        let reachable = lane::Reachable {
+            upstreams: &self.upstreams,
+            reaches: &|upstream| health.trusts(now, zone, upstream),
+        };
         self.lane.resize(now, timing, &reachable);
     }
 
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -131,6 +131,9 @@
         from: &name::AvailabilityZoneName,
         upstream: &upstream::Upstream,
     ) -> bool {
+        if self.missed.is_empty() {
+            return true;
+        }
         let pair = (from.clone(), upstream.availability_zone().clone());
         let Some(missed) = self.missed.get(&pair) else {
             return true;
--- a/limpetkeel/src/planner/lane.rs
+++ b/limpetkeel/src/planner/lane.rs
@@ -31,8 +31,22 @@
 const RANK_WEIGHT: f64 = 0.1;
 
 /// The engines that the requests of one zone can reach.
-pub(super) type Reachable<'a> =
-    collections::BTreeMap<&'a name::UpstreamName, &'a upstream::Upstream>;
+pub(super) struct Reachable<'a> {
+    pub(super) upstreams: &'a collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
+    pub(super) reaches: &'a dyn Fn(&upstream::Upstream) -> bool,
+}
+
+impl<'a> Reachable<'a> {
+    fn get(&self, name: &name::UpstreamName) -> Option<&'a upstream::Upstream> {
+        let upstream = self.upstreams.get(name);
+        upstream.filter(|upstream| (self.reaches)(upstream))
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &'a upstream::Upstream> {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(|upstream| (self.reaches)(upstream))
+    }
+}
 
 #[derive(Debug, Default)]
 pub(super) struct Lane {
@@ -92,11 +106,14 @@
         reachable: &Reachable<'_>,
     ) {
         self.forget(now);
-        let all = reachable.len();
+        let (mut all, mut streams) = (0_usize, 0);
+        for upstream in reachable.iter() {
+            all += 1;
+            streams += upstream.streams();
+        }
         let members = || self.members.iter().filter_map(|name| reachable.get(name));
         let size = members().count();
         let backlog: f64 = members().map(|upstream| upstream.backlog(now)).sum();
-        let streams: usize = reachable.values().map(|upstream| upstream.streams()).sum();
         let writers = (streams as f64 / (timing.slots() as f64 * STREAM_SHARE)).ceil() as usize;
         let outside = writers.max((all as f64 * OUTSIDE_SHARE).ceil() as usize);
         let most = all.saturating_sub(outside);
--- a/limpetkeel/src/planner/long.rs
+++ b/limpetkeel/src/planner/long.rs
@@ -17,6 +17,10 @@
 /// what a delayed stream costs, since other long prompts follow it there.
 const BESIDE_MS: f64 = 75.0;
 
+/// What a long prompt pays for a lead that cannot hold it, in milliseconds: as much as ten places in
+/// the lane, since its reservations elsewhere may fail.
+const UNFIT_MS: f64 = 10.0 * LANE_MS;
+
 /// What a long prompt pays for a lead that was not reached lately, in milliseconds: more than for
 /// any other fault, but not more than for being refused.
 const DISTRUSTED_MS: f64 = 10_000.0;
@@ -34,10 +38,11 @@
         self.resize_lane(now, Some(timing), &demand.availability_zone);
         let room = timing.memory().percent(MEMORY_PERCENT);
         let (lead, fits) = self.choose_lead(now, timing, demand, room)?;
+        let readers = self.readers(now, &lead, demand);
         let reserved = if fits {
             Vec::new()
         } else {
-            self.reservations(now, &lead, demand, room)?
+            self.reservations(&readers, prompt, room)?
         };
         let job = parts::Job {
             prompt,
@@ -45,7 +50,7 @@
             lead: &lead,
             reserved,
         };
-        let team = self.choose_helpers(now, timing, demand, job);
+        let team = self.choose_helpers(now, timing, readers, job);
         Ok(plan::Plan {
             id: demand.id,
             lead,
@@ -73,7 +78,7 @@
             pass + self.distance(now, upstream, demand)
                 + delayed * parts::DELAYED_MS
                 + beside * BESIDE_MS
-                + if fits(upstream) { 0.0 } else { 10.0 * LANE_MS }
+                + if fits(upstream) { 0.0 } else { UNFIT_MS }
                 + if self.health.trusts(now, zone, upstream) {
                     0.0
                 } else {
@@ -92,15 +97,11 @@
     /// Its parts are large, so that they would stop all streams of other engines.
     fn reservations(
         &self,
-        now: unit::Timestamp,
-        lead: &grant::Place,
-        demand: &plan::Demand,
+        readers: &[&upstream::Upstream],
+        prompt: unit::Tokens,
         room: unit::Tokens,
     ) -> error::Result<Vec<plan::Helper>> {
-        let mut lane = self.sound(now, lead, demand);
-        lane.retain(|upstream| self.lane.holds(upstream.name()));
-        let prompt = demand.work.prompt;
-        divide(prompt, lane, room).ok_or_else(|| {
+        reserve(prompt, readers.to_vec(), room).ok_or_else(|| {
             let whole = unit::Tokens(room.0 * self.upstreams.len() as u64);
             if prompt > whole {
                 error::Error::PromptTooLong(whole)
@@ -111,8 +112,8 @@
     }
 }
 
-/// Divides a prompt among the fewest engines that have the room.
-fn divide(
+/// Divides the memory of a prompt among the fewest engines that have the room.
+fn reserve(
     prompt: unit::Tokens,
     mut engines: Vec<&upstream::Upstream>,
     room: unit::Tokens,
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -103,13 +103,8 @@
         streams.filter(|stream| stream.length == length).count()
     }
 
-    /// Returns the time of the next pass with all reading that is planned, in milliseconds.
-    pub(super) fn pass_ms(&self, now: unit::Timestamp, timing: &engine::Timing) -> f64 {
-        timing.pass_ms(self.streams(), self.memory) + self.backlog(now)
-    }
-
     /// Returns what is left of the present pass on average, in milliseconds.
-    pub(super) fn present_ms(&self, timing: &engine::Timing) -> f64 {
+    fn present_ms(&self, timing: &engine::Timing) -> f64 {
         if self.writes.is_empty() {
             0.0
         } else {
@@ -117,14 +112,20 @@
         }
     }
 
-    /// Returns the streams that a pass would delay beyond their pause if it read for `ms` more.
+    /// Returns when what is given now begins to be read, in milliseconds.
+    pub(super) fn wait_ms(&self, now: unit::Timestamp, timing: &engine::Timing) -> f64 {
+        self.backlog(now) + self.present_ms(timing)
+    }
+
+    /// Returns the streams that the next pass would delay beyond their pause if it read for `ms`
+    /// besides all that is planned.
     pub(super) fn delayed_by(
         &self,
         now: unit::Timestamp,
         timing: &engine::Timing,
         ms: f64,
     ) -> usize {
-        let pass = self.pass_ms(now, timing) + ms;
+        let pass = timing.pass_ms(self.streams(), self.memory) + self.backlog(now) + ms;
         let streams = self.writes.values();
         streams
             .filter(|stream| stream.pause.0 as f64 <= pass)
