Tell planners by one kind of note

Found on reading the change again: the same three messages (a plan made by another planner, an answer that has begun, a plan that has ended) stood as requests of peers and as jobs of the workers, were translated one by one in the answers, and each of four places chose between the own planner and a peer. A note is one type now, told at one place.

A dropped note of any kind is logged as note_dropped; before, only that of a settlement was, as settlement_dropped. Counters keep their names. The peers' messages are version 3, since a note is a byte longer.

--- a/limpetkeeld/src/answers.rs
+++ b/limpetkeeld/src/answers.rs
@@ -65,9 +65,7 @@
             }
             message::Request::RunOnce(updates) => self.run_once(updates).await,
             message::Request::Plan(_)
-            | message::Request::AssertPlans(_)
-            | message::Request::Begun(..)
-            | message::Request::Settle(_)
+            | message::Request::Note(_)
             | message::Request::Catalog(_)
             | message::Request::Follow(_) => message::Response::Unsupported,
         }
--- a/limpetkeeld/src/peer.rs
+++ b/limpetkeeld/src/peer.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 
 /// The version of the messages; a peer of another version is refused with its number.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 
 /// A message is at most this long.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -29,12 +29,8 @@
     RunOnce(Vec<Update>),
     /// Asks the planner for a plan.
     Plan(Demand),
-    /// Hands plans of another planner over.
-    AssertPlans(Vec<Assertion>),
-    /// Tells that the answer under a plan has begun.
-    Begun(PoolName, RequestId),
-    /// Ends a plan.
-    Settle(Settlement),
+    /// Tells the planner what became of plans.
+    Note(Note),
     /// Asks for the catalog if it is newer.
     Catalog(Revision),
     /// Waits for changes after a revision, or for a bounded time.
@@ -55,15 +51,35 @@
             Request::Tables(_) => "tables",
             Request::RunOnce(_) => "run_once",
             Request::Plan(_) => "plan",
-            Request::AssertPlans(_) => "assert_plans",
-            Request::Begun(..) => "begun",
-            Request::Settle(_) => "settle",
+            Request::Note(note) => note.kind(),
             Request::Follow(_) => "follow",
             Request::Catalog(_) => "catalog",
         }
     }
 }
 
+/// What a planner is told of plans.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub enum Note {
+    /// These plans were made by another planner.
+    Assert(Vec<Assertion>),
+    /// The answer under a plan has begun.
+    Begun(PoolName, RequestId),
+    /// A plan has ended.
+    Settle(Settlement),
+}
+
+impl Note {
+    /// Returns the name that counters and logs use.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Note::Assert(_) => "assert_plans",
+            Note::Begun(..) => "begun",
+            Note::Settle(_) => "settle",
+        }
+    }
+}
+
 /// The answer to a [`Request`].
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub enum Response {
--- a/limpetkeeld/src/relay/answers.rs
+++ b/limpetkeeld/src/relay/answers.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     peer::{message, server},
-    relay::{adopt, follow, jobs, shared},
+    relay::{adopt, follow, planning, shared},
 };
 
 /// Answers peers from the shared tables.
@@ -31,16 +31,8 @@
                 }
                 message::Response::Planned(self.shared.jobs.plan(demand).await)
             }
-            message::Request::AssertPlans(assertions) => {
-                self.shared.jobs.submit(jobs::Job::Assert(assertions));
-                message::Response::Done
-            }
-            message::Request::Begun(pool, id) => {
-                self.shared.jobs.submit(jobs::Job::Begun(pool, id));
-                message::Response::Done
-            }
-            message::Request::Settle(settlement) => {
-                self.shared.jobs.submit(jobs::Job::Settle(settlement));
+            message::Request::Note(note) => {
+                planning::note_here(&self.shared, note);
                 message::Response::Done
             }
             message::Request::Catalog(than) => {
--- a/limpetkeeld/src/relay/jobs.rs
+++ b/limpetkeeld/src/relay/jobs.rs
@@ -1,8 +1,10 @@
 //! The queue of decisions.
 
-use limpetkeel::{Assertion, Catalog, Demand, Plan, PoolName, RequestId, Settlement, StoreChanges};
+use limpetkeel::{Catalog, Demand, Plan, StoreChanges};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::peer::message;
+
 /// Where a catalog comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -24,12 +26,8 @@
         /// Where the decision goes.
         reply: oneshot::Sender<limpetkeel::Result<Plan>>,
     },
-    /// Takes in plans that another planner made.
-    Assert(Vec<Assertion>),
-    /// Takes in that the answer under a plan has begun.
-    Begun(PoolName, RequestId),
-    /// Takes in the end of a plan.
-    Settle(Settlement),
+    /// Takes in what became of plans.
+    Note(message::Note),
     /// Takes in a whole catalog.
     Adopt(Catalog, Source),
     /// Takes in changes.
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -4,7 +4,7 @@
 //! hashes to. One that does not answer at once costs a few milliseconds: the next one is asked,
 //! and in the end the own instance plans with what it knows.
 
-use std::{collections, net, sync, time};
+use std::{collections, sync, time};
 
 use limpetkeel::{
     Assertion, Contact, Demand, Error, Plan, Planner, PoolName, RequestId, Settlement,
@@ -44,16 +44,7 @@
                 held.planner.clone()
             })
         };
-        match planner {
-            None => {
-                // A note that finds no room is made up for by the next one.
-                self.shared.jobs.submit(jobs::Job::Begun(pool, id));
-            }
-            Some(planner) => {
-                let note = message::Request::Begun(pool, id);
-                tell(&self.shared, planner.address, note);
-            }
-        }
+        tell(&self.shared, planner, message::Note::Begun(pool, id));
     }
 
     /// Records how an upstream of the plan fared.
@@ -67,30 +58,44 @@
     fn drop(&mut self) {
         let settlement = self.settlement.clone();
         let held = self.shared.requests.lock().plans.remove(&settlement.id);
-        match held.and_then(|held| held.planner) {
-            None => {
-                if !self.shared.jobs.submit(jobs::Job::Settle(settlement)) {
-                    tracing::warn!(event = "settlement_dropped", plan = %self.settlement.id);
-                }
-            }
-            Some(planner) => {
-                let note = message::Request::Settle(settlement);
-                tell(&self.shared, planner.address, note);
-            }
-        }
+        let planner = held.and_then(|held| held.planner);
+        tell(&self.shared, planner, message::Note::Settle(settlement));
     }
 }
 
-/// Sends a note to a planner without waiting for it.
-fn tell(shared: &sync::Arc<shared::Shared>, address: net::SocketAddr, note: message::Request) {
+/// Tells a planner, nobody for the own one, without waiting for it.
+fn tell(shared: &sync::Arc<shared::Shared>, planner: Option<Contact>, note: message::Note) {
+    let Some(planner) = planner else {
+        note_here(shared, note);
+        return;
+    };
     let shared = shared.clone();
     tokio::spawn(async move {
-        if let Err(e) = shared.peers.call(address, &note, NOTE_TIMEOUT).await {
-            tracing::debug!(event = "note_lost", kind = note.kind(), error = %e);
+        let req = message::Request::Note(note);
+        if let Err(e) = shared.peers.call(planner.address, &req, NOTE_TIMEOUT).await {
+            tracing::debug!(event = "note_lost", kind = req.kind(), error = %e);
         }
     });
 }
 
+/// Leaves a note to the own planner.
+pub fn note_here(shared: &shared::Shared, note: message::Note) {
+    let kind = note.kind();
+    if !shared.jobs.submit(jobs::Job::Note(note)) {
+        // What the planner is not told lapses, or is asserted again.
+        tracing::warn!(event = "note_dropped", kind);
+    }
+}
+
+/// Takes a note in.
+pub fn take_in(shared: &shared::Shared, note: &message::Note) {
+    match note {
+        message::Note::Assert(assertions) => assert_here(shared, assertions),
+        message::Note::Begun(pool, id) => begun_here(shared, pool, *id),
+        message::Note::Settle(settlement) => settle_here(shared, settlement),
+    }
+}
+
 /// Gets a plan for a request, which logs name by its caller's identity.
 ///
 /// # Errors
@@ -202,12 +207,8 @@
         // An elapsed time is seen by the next look.
         let _ = tokio::time::timeout(ASSERT_INTERVAL, changed).await;
         for (planner, assertions) in moved(&shared) {
-            if shared.is_own(&planner) {
-                shared.jobs.submit(jobs::Job::Assert(assertions));
-            } else {
-                let note = message::Request::AssertPlans(assertions);
-                tell(&shared, planner.address, note);
-            }
+            let planner = (!shared.is_own(&planner)).then_some(planner);
+            tell(&shared, planner, message::Note::Assert(assertions));
         }
     }
 }
@@ -229,18 +230,9 @@
         if before.name == present.name {
             continue;
         }
-        if let Some(former) = held.planner.take() {
-            let note = message::Request::Settle(unjudged(
-                shared,
-                &held.assertion.pool,
-                &held.assertion.plan,
-                true,
-            ));
-            tell(shared, former.address, note);
-        } else {
-            let settlement = unjudged(shared, &held.assertion.pool, &held.assertion.plan, true);
-            shared.jobs.submit(jobs::Job::Settle(settlement));
-        }
+        let former = held.planner.take();
+        let end = unjudged(shared, &held.assertion.pool, &held.assertion.plan, true);
+        tell(shared, former, message::Note::Settle(end));
         held.planner = (!shared.is_own(present)).then(|| present.clone());
         held.assertion.remaining = held.deadline.since(now);
         let assertion = held.assertion.clone();
@@ -265,7 +257,7 @@
 }
 
 /// Takes in plans that another planner made.
-pub fn assert_here(shared: &shared::Shared, assertions: &[Assertion]) {
+fn assert_here(shared: &shared::Shared, assertions: &[Assertion]) {
     let now = shared.clock.now();
     let in_force = shared.in_force.lock();
     let mut planners = shared.planners.lock();
@@ -309,7 +301,7 @@
 }
 
 /// Takes in that the answer under a plan of the own planner has begun.
-pub fn begun_here(shared: &shared::Shared, pool: &PoolName, id: RequestId) {
+fn begun_here(shared: &shared::Shared, pool: &PoolName, id: RequestId) {
     let now = shared.clock.now();
     if let Some(planner) = shared.planners.lock().get_mut(pool) {
         planner.begun(now, id);
@@ -317,7 +309,7 @@
 }
 
 /// Takes in the end of a plan of the own planner.
-pub fn settle_here(shared: &shared::Shared, settlement: &Settlement) {
+fn settle_here(shared: &shared::Shared, settlement: &Settlement) {
     let now = shared.clock.now();
     if let Some(planner) = shared.planners.lock().get_mut(&settlement.pool) {
         planner.settle(now, settlement);
--- a/limpetkeeld/src/relay/worker.rs
+++ b/limpetkeeld/src/relay/worker.rs
@@ -27,9 +27,7 @@
                     planning::forget(&shared, &demand, &plan);
                 }
             }
-            jobs::Job::Assert(assertions) => planning::assert_here(&shared, &assertions),
-            jobs::Job::Begun(pool, id) => planning::begun_here(&shared, &pool, id),
-            jobs::Job::Settle(settlement) => planning::settle_here(&shared, &settlement),
+            jobs::Job::Note(note) => planning::take_in(&shared, &note),
             jobs::Job::Adopt(catalog, source) => adopt::adopt(&shared, catalog, source),
             jobs::Job::Apply(changes) => adopt::apply(&shared, changes),
             jobs::Job::Barrier(done) => {
