Go on with a silent stream from one place

Found on reading the change again: three ends of the loop over attempts called the same function in the same way. The loop returns what it came to, and its caller goes on with a stream that was only silent. A plan and a group that were not used for lack of budget are given back before that, not after.

--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -108,34 +108,52 @@
     Again(Exchange<Routed>),
 }
 
+/// What all attempts of a request came to.
+enum Attempts {
+    /// It is over.
+    Served(Served),
+    /// No other attempt is made.
+    GivenUp(Exchange<Routed>, history::End),
+}
+
 async fn serve(
     shared: &sync::Arc<shared::Shared>,
     call: &call::Call,
-    mut exchange: Exchange<Routed>,
+    exchange: Exchange<Routed>,
     outlet: &mut outlet::Outlet,
     history: &mut history::History,
 ) -> Result<Served, history::End> {
     let mut standby = None;
+    match try_all(shared, call, exchange, &mut standby, outlet, history).await {
+        Attempts::Served(served) => Ok(served),
+        Attempts::GivenUp(exchange, end) => {
+            let gone_on = go_on(shared, call, exchange, standby, outlet).await;
+            gone_on.ok_or(end)
+        }
+    }
+}
+
+/// Makes attempts until one ends the request or no other one may be made.
+async fn try_all(
+    shared: &sync::Arc<shared::Shared>,
+    call: &call::Call,
+    mut exchange: Exchange<Routed>,
+    standby: &mut Option<stream::Standby>,
+    outlet: &mut outlet::Outlet,
+    history: &mut history::History,
+) -> Attempts {
     let mut unreached = 0;
     loop {
-        let placed = match next(shared, call, &exchange).await {
-            Ok((plan, held)) => (exchange.place(plan), held),
-            Err(end) => {
-                return go_on(shared, call, exchange, standby, outlet)
-                    .await
-                    .ok_or(end);
-            }
+        let (plan, mut held) = match next(shared, call, &exchange).await {
+            Ok(planned) => planned,
+            Err(end) => return Attempts::GivenUp(exchange, end),
         };
-        let (placed, mut held) = placed;
+        let placed = exchange.place(plan);
         history.plan(placed.plan());
         match prepare(shared, &placed).await {
             Ok((group, connection)) => {
                 if let Err(budget::Spent) = budget::spend(shared, &placed) {
-                    let end = history::End::NoBudget;
-                    let exchange = placed.unreached();
-                    return go_on(shared, call, exchange, standby, outlet)
-                        .await
-                        .ok_or(end);
+                    return Attempts::GivenUp(placed.unreached(), history::End::NoBudget);
                 }
                 let ready = Ready {
                     held,
@@ -145,8 +163,8 @@
                 let sent = placed.send();
                 history.may_have_run = true;
                 history.sends = sent.sends();
-                match attempt(shared, call, sent, ready, &mut standby, outlet, history).await {
-                    Attempted::Done(served) => return Ok(served),
+                match attempt(shared, call, sent, ready, standby, outlet, history).await {
+                    Attempted::Done(served) => return Attempts::Served(served),
                     Attempted::Again(again) => exchange = again,
                 }
                 history.note(&exchange);
@@ -157,10 +175,7 @@
                 exchange = placed.unreached();
                 unreached += 1;
                 if unreached >= MAX_UNREACHED {
-                    let end = history::End::Unreached;
-                    return go_on(shared, call, exchange, standby, outlet)
-                        .await
-                        .ok_or(end);
+                    return Attempts::GivenUp(exchange, history::End::Unreached);
                 }
             }
         }
