Hold the own life cycle in one type

Found on reading the change again: both shared tables held the own stage with the same three functions and made the first one alike. OwnStage does so for both.

--- a/limpetkeeld/src/daemon.rs
+++ b/limpetkeeld/src/daemon.rs
@@ -125,6 +125,7 @@
     shared
         .membership
         .lock()
+        .own
         .transition(|stage| stage.leave(now));
     tracing::info!(event = "leaving", instance = %shared.settings.instance);
     gossip::announce_leaving(shared).await;
@@ -134,8 +135,10 @@
         let gone = {
             let mut membership = shared.membership.lock();
             let in_progress = shared.requests.lock().admitted;
-            membership.transition(|stage| stage.depart(now, in_progress));
-            matches!(membership.stage(), Some(limpetkeel::Stage::Gone(_)))
+            membership
+                .own
+                .transition(|stage| stage.depart(now, in_progress));
+            matches!(membership.own.get(), Some(limpetkeel::Stage::Gone(_)))
         };
         if gone {
             return;
--- a/limpetkeeld/src/front/health.rs
+++ b/limpetkeeld/src/front/health.rs
@@ -29,12 +29,7 @@
 #[salvo::handler]
 impl Ready {
     async fn handle(&self, res: &mut salvo::Response) {
-        let ready = self
-            .0
-            .membership
-            .lock()
-            .stage()
-            .is_some_and(Stage::is_ready);
+        let ready = self.0.membership.lock().own.is_ready();
         if ready {
             return res.render("ready\n");
         }
@@ -93,7 +88,7 @@
         )
     };
     let membership = shared.membership.lock();
-    let stage = match membership.stage() {
+    let stage = match membership.own.get() {
         Some(Stage::Joining(_)) | None => "joining",
         Some(Stage::Live(_)) => "live",
         Some(Stage::Leaving(_)) => "leaving",
--- a/limpetkeeld/src/front/reply.rs
+++ b/limpetkeeld/src/front/reply.rs
@@ -105,7 +105,7 @@
 
 /// Asks the caller to close the connection if the instance is leaving.
 pub fn close_if_leaving(shared: &shared::Shared, res: &mut salvo::Response) {
-    if shared.membership.lock().is_leaving() {
+    if shared.membership.lock().own.is_leaving() {
         let value = http::HeaderValue::from_static("close");
         res.headers_mut().insert(http::header::CONNECTION, value);
     }
--- a/limpetkeeld/src/keeping.rs
+++ b/limpetkeeld/src/keeping.rs
@@ -114,7 +114,7 @@
     let listed = in_force
         .directory
         .serving(pool.name(), &shared.settings.availability_zone);
-    if shared.membership.lock().is_leaving() {
+    if shared.membership.lock().own.is_leaving() {
         let _ = reply.send(Err(Error::KeeperUnreachable));
         return;
     }
--- a/limpetkeeld/src/lib.rs
+++ b/limpetkeeld/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod metered;
 pub mod metrics;
 pub mod ordering;
+pub mod own_stage;
 pub mod path;
 pub mod peer;
 pub mod placing;
--- a/limpetkeeld/src/path.rs
+++ b/limpetkeeld/src/path.rs
@@ -46,7 +46,8 @@
         let takes = shared
             .membership
             .lock()
-            .stage()
+            .own
+            .get()
             .is_some_and(|stage| stage.takes_work(now));
         if !takes {
             return Err(Error::Draining);
--- a/limpetkeeld/src/relay/adopt.rs
+++ b/limpetkeeld/src/relay/adopt.rs
@@ -130,5 +130,7 @@
 fn go_live(in_force: &shared::InForce, membership: &mut shared::Membership) {
     let version = limpetkeel::Revision(in_force.ingress.version());
     let serving = in_force.roster.is_serving();
-    membership.transition(|stage| stage.go_live(version, serving));
+    membership
+        .own
+        .transition(|stage| stage.go_live(version, serving));
 }
--- a/limpetkeeld/src/relay/answers.rs
+++ b/limpetkeeld/src/relay/answers.rs
@@ -25,7 +25,7 @@
     async fn answer(&self, req: message::Request) -> message::Response {
         match req {
             message::Request::Plan(demand) => {
-                if self.shared.membership.lock().is_leaving() {
+                if self.shared.membership.lock().own.is_leaving() {
                     let leaving = limpetkeel::Error::KeeperUnreachable;
                     return message::Response::Planned(Err(leaving));
                 }
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
-use limpetkeel::Stage;
 use tracing_appender::non_blocking;
 
 use crate::{
@@ -149,8 +148,7 @@
             (http::StatusCode::OK, shared.metrics.render())
         }
         Page::Ready => {
-            let membership = shared.membership.lock();
-            if membership.stage().is_some_and(Stage::is_ready) {
+            if shared.membership.lock().own.is_ready() {
                 (http::StatusCode::OK, "ready\n".to_owned())
             } else {
                 (
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -89,7 +89,7 @@
         Ok((call, exchange)) => relay(&shared, call, exchange).await,
         Err(refusal) => refuse(&shared, id.as_deref(), refusal),
     };
-    if shared.membership.lock().is_leaving() {
+    if shared.membership.lock().own.is_leaving() {
         let close = http::HeaderValue::from_static("close");
         res.headers_mut().insert(http::header::CONNECTION, close);
     }
--- a/limpetkeeld/src/relay/leave.rs
+++ b/limpetkeeld/src/relay/leave.rs
@@ -33,6 +33,7 @@
     shared
         .membership
         .lock()
+        .own
         .transition(|stage| stage.leave(now));
     shared.leaving.cancel();
     tracing::info!(event = "leaving", instance = %shared.settings.instance);
--- a/limpetkeeld/src/relay/register.rs
+++ b/limpetkeeld/src/relay/register.rs
@@ -21,7 +21,7 @@
 /// Keeps the instance listed until it leaves.
 pub async fn run(shared: sync::Arc<shared::Shared>) {
     let mut lease = None;
-    while !shared.membership.lock().is_leaving() {
+    while !shared.membership.lock().own.is_leaving() {
         let pause = match keep(&shared, &mut lease).await {
             Ok(()) => RENEWAL_INTERVAL,
             Err(e) => {
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -3,14 +3,14 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    Assertion, BodyBudget, ChangeLog, Contact, Ingress, Instance, Level, Ordered, Planner,
-    PoolName, RequestId, RetryBound, RetryWindow, Revision, Roll, Roster, Stage, Timestamp,
+    Assertion, BodyBudget, ChangeLog, Contact, Ingress, Level, Ordered, Planner, PoolName,
+    RequestId, RetryBound, RetryWindow, Revision, Roll, Roster, Timestamp,
 };
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock, metrics, peer,
+    clock, metrics, own_stage, peer,
     relay::{jobs, port, settings},
 };
 
@@ -36,25 +36,8 @@
 pub struct Membership {
     /// The instances.
     pub roll: Roll,
-    /// The own stage; absent only while a transition is made.
-    stage: Option<Stage>,
-}
-
-impl Membership {
-    /// Applies a transition to the own stage.
-    pub fn transition(&mut self, next: impl FnOnce(Stage) -> Stage) {
-        self.stage = self.stage.take().map(next);
-    }
-
-    /// Returns the own stage.
-    pub fn stage(&self) -> Option<&Stage> {
-        self.stage.as_ref()
-    }
-
-    /// Tells whether this instance is on its way out.
-    pub fn is_leaving(&self) -> bool {
-        self.stage().is_some_and(Stage::is_leaving)
-    }
+    /// The own life cycle.
+    pub own: own_stage::OwnStage,
 }
 
 /// A plan that this instance holds, and who keeps its ledger.
@@ -135,10 +118,10 @@
         };
         let membership = Membership {
             roll: Roll::new(own),
-            stage: Some(Stage::Joining(Instance::new(
+            own: own_stage::OwnStage::joining(
                 settings.instance.clone(),
                 settings.availability_zone.clone(),
-            ))),
+            ),
         };
         let source = settings.peer_listen.ip();
         Shared {
--- a/limpetkeeld/src/shared.rs
+++ b/limpetkeeld/src/shared.rs
@@ -3,11 +3,13 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    AvailabilityZone, Baseline, BodyBudget, Contact, Directory, Estimator, Heartbeat, Held,
-    Instance, Level, Members, Ordered, PoolName, RequestId, RetryBudget, Stage, Tables,
+    AvailabilityZone, Baseline, BodyBudget, Contact, Directory, Estimator, Heartbeat, Held, Level,
+    Members, Ordered, PoolName, RequestId, RetryBudget, Tables,
 };
 
-use crate::{clock, engine, keeping, metrics, peer, platform, run_once, service, settings, worker};
+use crate::{
+    clock, engine, keeping, metrics, own_stage, peer, platform, run_once, service, settings, worker,
+};
 
 /// The tables in force and the upstreams that the platform listed.
 #[derive(Default)]
@@ -24,25 +26,8 @@
     pub members: Members,
     /// The own availability zone.
     pub availability_zone: AvailabilityZone,
-    /// The own stage; absent only while a transition is made.
-    stage: Option<Stage>,
-}
-
-impl Membership {
-    /// Applies a transition to the own stage.
-    pub fn transition(&mut self, next: impl FnOnce(Stage) -> Stage) {
-        self.stage = self.stage.take().map(next);
-    }
-
-    /// Returns the own stage.
-    pub fn stage(&self) -> Option<&Stage> {
-        self.stage.as_ref()
-    }
-
-    /// Tells whether this instance is on its way out.
-    pub fn is_leaving(&self) -> bool {
-        self.stage().is_some_and(Stage::is_leaving)
-    }
+    /// The own life cycle.
+    pub own: own_stage::OwnStage,
 }
 
 /// A grant that this instance holds, and the keeper that gave it.
@@ -128,10 +113,10 @@
         let membership = Membership {
             members: Members::new(own, Heartbeat::starting(started), clock.now()),
             availability_zone: AvailabilityZone::new(settings.availability_zone.clone()),
-            stage: Some(Stage::Joining(Instance::new(
+            own: own_stage::OwnStage::joining(
                 settings.instance.clone(),
                 settings.availability_zone.clone(),
-            ))),
+            ),
         };
         let budgets = Budgets {
             bodies: BodyBudget::new(settings.body_budget),
--- a/limpetkeeld/src/tables.rs
+++ b/limpetkeeld/src/tables.rs
@@ -53,6 +53,7 @@
     shared
         .membership
         .lock()
+        .own
         .transition(|stage| stage.go_live(revision, known));
 }
 
@@ -100,7 +101,7 @@
 fn watches(shared: &shared::Shared) -> bool {
     let now = shared.clock.now();
     let membership = shared.membership.lock();
-    !membership.is_leaving() && membership.members.is_among_owners(now, "watch", WATCHERS)
+    !membership.own.is_leaving() && membership.members.is_among_owners(now, "watch", WATCHERS)
 }
 
 /// Watches the store while this instance is a watcher, until the process ends.
