Read the arguments and the common settings of both programs in one place

Exit codes and texts were compared for help, version, no argument, a missing file, bad arguments and bad settings: as before.

--- a/limpetkeeld/src/lib.rs
+++ b/limpetkeeld/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peer;
 pub mod placing;
 pub mod platform;
+pub mod program;
 pub mod relay;
 pub mod run_once;
 pub mod service;
--- a/limpetkeeld/src/main.rs
+++ b/limpetkeeld/src/main.rs
@@ -1,8 +1,8 @@
 //! The daemon's program.
 
-use std::{path, process};
+use std::process;
 
-use limpetkeeld::{daemon, log, settings};
+use limpetkeeld::{daemon, log, program, settings};
 
 const HELP: &str = "\
 Serves callers of one instance.
@@ -19,39 +19,20 @@
 Exit codes: 0 stopped, 1 could not start, 2 bad arguments or settings.
 ";
 
-/// Bad arguments or settings.
-const EXIT_USAGE: u8 = 2;
+const ABOUT: program::About = program::About {
+    name: "limpetkeeld",
+    version: env!("CARGO_PKG_VERSION"),
+    help: HELP,
+};
 
 fn main() -> process::ExitCode {
-    let mut args = pico_args::Arguments::from_env();
-    if args.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return process::ExitCode::SUCCESS;
-    }
-    if args.contains(["-V", "--version"]) {
-        println!("limpetkeeld {}", env!("CARGO_PKG_VERSION"));
-        return process::ExitCode::SUCCESS;
-    }
-    let check = args.contains("--check");
-    let file: Result<path::PathBuf, _> = args.value_from_str("--config");
-    let rest = args.finish();
-    let (Ok(file), true) = (file, rest.is_empty()) else {
-        eprint!("{HELP}");
-        return process::ExitCode::from(EXIT_USAGE);
-    };
-    let settings = match settings::Settings::read(&file) {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("{}:\n{e}", file.display());
-            return process::ExitCode::from(EXIT_USAGE);
+    match program::configure(ABOUT, None, settings::Settings::read) {
+        Ok((_, settings)) => {
+            log::start(&settings.log);
+            start(settings)
         }
-    };
-    if check {
-        println!("{}: ok", file.display());
-        return process::ExitCode::SUCCESS;
+        Err(code) => code,
     }
-    log::start(&settings.log);
-    start(settings)
 }
 
 fn start(settings: settings::Settings) -> process::ExitCode {
@@ -61,16 +42,10 @@
         .build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
-        Err(e) => {
-            tracing::error!(event = "start_failed", error = %e);
-            return process::ExitCode::FAILURE;
-        }
+        Err(e) => return program::failed(&e),
     };
     match runtime.block_on(daemon::run(settings)) {
         Ok(()) => process::ExitCode::SUCCESS,
-        Err(e) => {
-            tracing::error!(event = "start_failed", error = %e);
-            process::ExitCode::FAILURE
-        }
+        Err(e) => program::failed(&e),
     }
 }
--- a/limpetkeeld/src/relay/settings.rs
+++ b/limpetkeeld/src/relay/settings.rs
@@ -4,7 +4,7 @@
 
 use limpetkeel::{AvailabilityZoneName, Bytes, InstanceName, Millis, RetryBound};
 
-use crate::settings::{Checker, Error, Problem, address, between, key, parse};
+use crate::settings::{Checker, Error, Problem, between, default_log, key, parse};
 
 /// Settings as the file holds them.
 #[derive(Debug, serde::Deserialize)]
@@ -36,10 +36,6 @@
     toml::Spanned::new(0..0, 2)
 }
 
-fn default_log() -> String {
-    "info".to_owned()
-}
-
 /// Checked settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -92,32 +88,18 @@
 /// The largest `retry_allowance`.
 const MOST_ALLOWANCE: u64 = 1_000_000;
 
-/// The most workers.
-const MOST_WORKERS: u64 = 64;
-
 impl Raw {
     fn check(&self, checker: &mut Checker<'_>) -> Option<Settings> {
-        let instance = checker.check("instance", &self.instance, |text| {
-            InstanceName::try_from(text.as_str()).map_err(|_| Problem::Name)
-        });
-        let availability_zone =
-            checker.check("availability_zone", &self.availability_zone, |text| {
-                AvailabilityZoneName::try_from(text.as_str()).map_err(|_| Problem::Name)
-            });
-        let http_listen = checker.check("http_listen", &self.http_listen, |t| address(t));
-        let ready_listen = checker.check("ready_listen", &self.ready_listen, |t| address(t));
-        let status_listen = checker.check("status_listen", &self.status_listen, |t| address(t));
-        let peer_listen = checker.check("peer_listen", &self.peer_listen, |t| address(t));
+        let instance = checker.name("instance", &self.instance);
+        let availability_zone = checker.name("availability_zone", &self.availability_zone);
+        let http_listen = checker.address("http_listen", &self.http_listen);
+        let ready_listen = checker.address("ready_listen", &self.ready_listen);
+        let status_listen = checker.address("status_listen", &self.status_listen);
+        let peer_listen = checker.address("peer_listen", &self.peer_listen);
         let peer_key = checker.check("peer_key", &self.peer_key, |text| key(text));
-        let store = checker.check("store", &self.store, |text| address(text));
-        let seeds: Vec<_> = self
-            .seeds
-            .iter()
-            .map(|seed| checker.check("seeds", seed, |text| address(text)))
-            .collect();
-        let workers = checker.check("workers", &self.workers, |count| {
-            between(1, MOST_WORKERS)(&(*count as u64)).map(|count| count as usize)
-        });
+        let store = checker.address("store", &self.store);
+        let seeds = checker.addresses("seeds", &self.seeds);
+        let workers = checker.workers(&self.workers);
         let (least, most) = LEAVE_BOUNDS;
         let leave = checker.check(
             "leave_timeout_ms",
@@ -154,7 +136,7 @@
             peer_listen: peer_listen?,
             peer_key: peer_key?,
             store: store?,
-            seeds: seeds.into_iter().collect::<Option<_>>()?,
+            seeds: seeds?,
             workers: workers?,
             leave_timeout: Millis(leave?),
             body_budget: Bytes(memory? * BYTES_PER_MB).percent(BODY_PERCENT),
--- a/limpetkeeld/src/settings.rs
+++ b/limpetkeeld/src/settings.rs
@@ -51,7 +51,7 @@
     toml::Spanned::new(0..0, 1_000)
 }
 
-fn default_log() -> String {
+pub(crate) fn default_log() -> String {
     "info".to_owned()
 }
 
@@ -164,7 +164,43 @@
     faults: Vec<Fault>,
 }
 
+/// The most workers that an instance may have.
+const MAX_WORKERS: u64 = 64;
+
 impl Checker<'_> {
+    pub(crate) fn name<'t, N: TryFrom<&'t str>>(
+        &mut self,
+        key: &str,
+        raw: &'t toml::Spanned<String>,
+    ) -> Option<N> {
+        let name = N::try_from(raw.get_ref()).map_err(|_| Problem::Name);
+        self.check(key, raw, |_| name)
+    }
+
+    pub(crate) fn address(
+        &mut self,
+        key: &str,
+        raw: &toml::Spanned<String>,
+    ) -> Option<net::SocketAddr> {
+        self.check(key, raw, |text| text.parse().map_err(|_| Problem::Address))
+    }
+
+    pub(crate) fn addresses(
+        &mut self,
+        key: &str,
+        raw: &[toml::Spanned<String>],
+    ) -> Option<Vec<net::SocketAddr>> {
+        // All of them are checked before one fault ends the list.
+        let addresses: Vec<_> = raw.iter().map(|raw| self.address(key, raw)).collect();
+        addresses.into_iter().collect()
+    }
+
+    pub(crate) fn workers(&mut self, raw: &toml::Spanned<usize>) -> Option<usize> {
+        self.check("workers", raw, |count| {
+            between(1, MAX_WORKERS)(&(*count as u64)).map(|count| count as usize)
+        })
+    }
+
     pub(crate) fn check<T, U>(
         &mut self,
         key: &str,
@@ -194,10 +230,6 @@
         + 1
 }
 
-pub(crate) fn address(text: &str) -> Result<net::SocketAddr, Problem> {
-    text.parse().map_err(|_| Problem::Address)
-}
-
 fn url(text: &str) -> Result<String, Problem> {
     let valid = text.starts_with("http://") && reqwest::Url::parse(text).is_ok();
     if valid {
@@ -259,27 +291,16 @@
 
 impl Raw {
     fn check(&self, checker: &mut Checker<'_>) -> Option<Settings> {
-        let instance = checker.check("instance", &self.instance, |text| {
-            InstanceName::try_from(text.as_str()).map_err(|_| Problem::Name)
-        });
-        let availability_zone =
-            checker.check("availability_zone", &self.availability_zone, |text| {
-                AvailabilityZoneName::try_from(text.as_str()).map_err(|_| Problem::Name)
-            });
-        let http_listen = checker.check("http_listen", &self.http_listen, |text| address(text));
-        let peer_listen = checker.check("peer_listen", &self.peer_listen, |text| address(text));
+        let instance = checker.name("instance", &self.instance);
+        let availability_zone = checker.name("availability_zone", &self.availability_zone);
+        let http_listen = checker.address("http_listen", &self.http_listen);
+        let peer_listen = checker.address("peer_listen", &self.peer_listen);
         let advertised = self.peer_advertise.as_ref().unwrap_or(&self.peer_listen);
-        let peer_advertise = checker.check("peer_advertise", advertised, |text| address(text));
+        let peer_advertise = checker.address("peer_advertise", advertised);
         let peer_key = checker.check("peer_key", &self.peer_key, |text| key(text));
         let platform = checker.check("platform", &self.platform, |text| url(text));
-        let seeds: Vec<_> = self
-            .seeds
-            .iter()
-            .map(|seed| checker.check("seeds", seed, |text| address(text)))
-            .collect();
-        let workers = checker.check("workers", &self.workers, |count| {
-            between(1, 64)(&(*count as u64)).map(|count| count as usize)
-        });
+        let seeds = checker.addresses("seeds", &self.seeds);
+        let workers = checker.workers(&self.workers);
         let max_body = checker.check(
             "max_body_bytes",
             &self.max_body_bytes,
@@ -303,7 +324,7 @@
             peer_advertise: peer_advertise?,
             peer_key: peer_key?,
             platform: platform?,
-            seeds: seeds.into_iter().collect::<Option<_>>()?,
+            seeds: seeds?,
             workers: workers?,
             max_body: Bytes(max_body?),
             body_budget: Bytes(body_budget?),
