Accept connections in one way, without spinning

Found on reading the change again: callers, status pages and peers each accepted for themselves. Only that for callers waited after a failure; without descriptors the other two tried again at once, and that for peers logged nothing. Both daemons listened for peers in the same words. All accept through one function, which logs and waits 20 ms, and the listening for peers is one function.

--- a/limpetkeeld/src/daemon.rs
+++ b/limpetkeeld/src/daemon.rs
@@ -71,7 +71,12 @@
 }
 
 fn start_tasks(shared: &sync::Arc<shared::Shared>) {
-    tokio::spawn(listen_to_peers(shared.clone()));
+    tokio::spawn(peer::server::run(
+        shared.settings.peer_listen,
+        shared.settings.peer_key.clone(),
+        shared.metrics.clone(),
+        sync::Arc::new(answers::Answers::new(shared)),
+    ));
     tokio::spawn(tables::run_watch(shared.clone()));
     tokio::spawn(tables::run_list(shared.clone()));
     tokio::spawn(gossip::run(shared.clone()));
@@ -82,16 +87,6 @@
     tokio::spawn(ordering::run(shared.clone()));
 }
 
-async fn listen_to_peers(shared: sync::Arc<shared::Shared>) {
-    let answers = sync::Arc::new(answers::Answers::new(&shared));
-    let (address, key) = (shared.settings.peer_listen, &shared.settings.peer_key);
-    let listening = peer::server::listen(address, key, shared.metrics.clone(), answers);
-    if let Err(e) = listening.await {
-        tracing::error!(event = "peer_listen_failed", address = %address, error = %e);
-        std::process::exit(1);
-    }
-}
-
 fn leave_on_signal(
     shared: sync::Arc<shared::Shared>,
     server: salvo::server::ServerHandle,
--- a/limpetkeeld/src/listener.rs
+++ b/limpetkeeld/src/listener.rs
@@ -1,10 +1,26 @@
-//! Listening sockets whose connections send without delay.
+//! Listening sockets: their connections send without delay, and failures to accept are survived.
 
-use std::{io, net};
+use std::{io, net, time};
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// The pause after a connection could not be accepted, for lack of descriptors.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+
+/// Accepts a connection; a failure is logged, and the next try waits a moment.
+pub async fn accept(listener: &tokio::net::TcpListener) -> tokio::net::TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(e) => {
+                tracing::warn!(event = "accept_failed", error = %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Listens for connections of callers.
 ///
 /// Accepted connections take over `TCP_NODELAY` from the listening socket. Without it each small
--- a/limpetkeeld/src/peer/server.rs
+++ b/limpetkeeld/src/peer/server.rs
@@ -6,7 +6,7 @@
 use tokio::net as tcp;
 
 use crate::{
-    metered, metrics,
+    listener, metered, metrics,
     peer::{self, handshake, message},
 };
 
@@ -156,6 +156,19 @@
     Ok(())
 }
 
+/// Accepts links until the process ends, which it does if the address cannot be bound.
+pub async fn run<A: Answer>(
+    address: net::SocketAddr,
+    key: Vec<u8>,
+    metrics: sync::Arc<metrics::Metrics>,
+    answerer: sync::Arc<A>,
+) {
+    if let Err(e) = listen(address, &key, metrics, answerer).await {
+        tracing::error!(event = "peer_listen_failed", address = %address, error = %e);
+        std::process::exit(1);
+    }
+}
+
 /// Accepts links until the process ends.
 ///
 /// # Errors
@@ -170,9 +183,7 @@
     let listener = tcp::TcpListener::bind(address).await?;
     let key: sync::Arc<[u8]> = key.into();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let stream = listener::accept(&listener).await;
         let (key, metrics, answerer) = (key.clone(), metrics.clone(), answerer.clone());
         tokio::spawn(async move {
             if let Err(e) = serve(stream, &key, &metrics, answerer).await
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -70,7 +70,12 @@
         .map_err(|e| Error::Listen(shared.settings.status_listen, e))?;
     let metrics = Page::Metrics(outside.lines_left_out);
     tokio::spawn(serve_status(shared.clone(), status, metrics));
-    tokio::spawn(listen_to_peers(shared.clone()));
+    tokio::spawn(peer::server::run(
+        shared.settings.peer_listen,
+        shared.settings.peer_key.clone(),
+        shared.metrics.clone(),
+        sync::Arc::new(answers::Answers::new(&shared)),
+    ));
     tokio::spawn(follow::run(shared.clone()));
     tokio::spawn(follow::run_peers(shared.clone()));
     tokio::spawn(follow::run_sweep(shared.clone()));
@@ -95,16 +100,6 @@
     left
 }
 
-async fn listen_to_peers(shared: sync::Arc<shared::Shared>) {
-    let answers = sync::Arc::new(answers::Answers::new(&shared));
-    let (address, key) = (shared.settings.peer_listen, &shared.settings.peer_key);
-    let listening = peer::server::listen(address, key, shared.metrics.clone(), answers);
-    if let Err(e) = listening.await {
-        tracing::error!(event = "peer_listen_failed", address = %address, error = %e);
-        std::process::exit(1);
-    }
-}
-
 /// What an address for operators answers.
 #[derive(Clone)]
 enum Page {
@@ -120,13 +115,7 @@
     page: Page,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                tracing::warn!(event = "accept_failed", error = %e);
-                continue;
-            }
-        };
+        let stream = listener::accept(&listener).await;
         let (shared, page) = (shared.clone(), page.clone());
         tokio::spawn(async move {
             let handler = service::service_fn(move |_: http::Request<Incoming>| {
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -40,23 +40,14 @@
     let listener = listener::listen(shared.settings.http_listen)?;
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    tokio::spawn(connection(shared.clone(), stream));
-                }
-                Err(e) => {
-                    tracing::warn!(event = "accept_failed", error = %e);
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            },
+            stream = listener::accept(&listener) => {
+                tokio::spawn(connection(shared.clone(), stream));
+            }
             () = shared.closing.cancelled() => return Ok(()),
         }
     }
 }
 
-/// The pause after a connection could not be accepted, for lack of descriptors.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
-
 async fn connection(shared: sync::Arc<shared::Shared>, stream: tokio::net::TcpStream) {
     let limits = shared.in_force.lock().ingress.limits();
     let limits = limits.unwrap_or(DEFAULT_LIMITS);
