--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -8,7 +8,7 @@
 pub mod process;
 mod range;
 
-use std::{collections, fmt, fs, io, net, path, time};
+use std::{fmt, fs, io, net, path, time};
 
 pub use config::{Config, tables_toml, tables_with_batch_timeout};
 pub use process::{Process, build, program};
@@ -348,25 +348,6 @@
         Ok(self.daemons.len() - 1)
     }
 
-    /// Waits until every daemon answers and the list, which lags, shows every process.
-    async fn wait_for_daemons(&self) -> Result<()> {
-        for daemon in &self.daemons {
-            let url = format!("{}/healthz", daemon.url());
-            self.wait_until("daemon answers", async || {
-                self.http.get(&url).send().await.is_ok()
-            })
-            .await?;
-        }
-        let url = format!("{}/instances", self.platform_url());
-        let expected = self.daemons.len() + self.engines.len() + self.services.len();
-        self.wait_until("the list is complete", async || {
-            let lines: Result<collections::BTreeMap<String, platform::Instance>> =
-                self.get(&url).await;
-            lines.is_ok_and(|lines| lines.len() == expected)
-        })
-        .await
-    }
-
     /// Applies the tables with the command-line tool and waits until they are in force and
     /// every daemon is ready.
     ///
--- a/standins/src/fleet/control.rs
+++ b/standins/src/fleet/control.rs
@@ -24,6 +24,29 @@
         Ok(())
     }
 
+    /// Waits until every daemon answers and the list, which lags, shows every process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one does not answer, or the list stays incomplete.
+    pub(super) async fn wait_for_daemons(&self) -> Result<()> {
+        for daemon in &self.daemons {
+            let url = format!("{}/healthz", daemon.url());
+            self.wait_until("daemon answers", async || {
+                self.http.get(&url).send().await.is_ok()
+            })
+            .await?;
+        }
+        let url = format!("{}/instances", self.platform_url());
+        let expected = self.daemons.len() + self.engines.len() + self.services.len();
+        self.wait_until("the list is complete", async || {
+            let lines: Result<collections::BTreeMap<String, platform::Instance>> =
+                self.get(&url).await;
+            lines.is_ok_and(|lines| lines.len() == expected)
+        })
+        .await
+    }
+
     /// Waits until every running daemon is ready and sees the live members of its zone.
     ///
     /// # Errors
--- a/standins/src/site/node.rs
+++ b/standins/src/site/node.rs
@@ -10,7 +10,7 @@
         self,
         store::Store,
         table::{self, Table},
-        upstream::Upstream,
+        upstream::{Conduct, Upstream},
     },
 };
 
@@ -265,6 +265,20 @@
         })
     }
 
+    /// Asks for a path under an identity of its own, and returns the status; zero without an answer.
+    pub async fn status(&self, node: usize, path: &str) -> u16 {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let got = self.ask(self.request(node, "GET", path, &id)).await;
+        got.map_or(0, |got| got.status)
+    }
+
+    /// Sets the conduct of all upstreams.
+    pub fn set_conduct(&self, conduct: Conduct) {
+        for upstream in &self.upstreams {
+            upstream.set_conduct(conduct);
+        }
+    }
+
     /// Returns how often a request ran on all upstreams.
     pub fn runs(&self, id: &str) -> usize {
         self.upstreams
--- a/standins/src/site/upstream.rs
+++ b/standins/src/site/upstream.rs
@@ -10,6 +10,14 @@
 
 use crate::site;
 
+/// Returns a whole stream as a caller gets it.
+pub fn whole_stream() -> String {
+    let events = 1..=EVENTS;
+    events
+        .map(|event| format!("id: {event}\ndata: piece {event}\n\n"))
+        .collect()
+}
+
 /// How an upstream treats requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Conduct {
--- a/standins/tests/relay.rs
+++ b/standins/tests/relay.rs
@@ -5,19 +5,11 @@
 use platform::names;
 use standins::site::{
     node::{self, Site},
-    store::Mood,
     table::{self, Table},
-    upstream::{Conduct, EVENTS},
+    upstream::{self, Conduct},
 };
 use test_case::test_case;
 
-fn whole_stream() -> String {
-    let events = 1..=EVENTS;
-    events
-        .map(|event| format!("id: {event}\ndata: piece {event}\n\n"))
-        .collect()
-}
-
 #[tokio::test]
 async fn a_request_reaches_an_upstream_unchanged() {
     let site = Site::start(2, 1).await.expect("site");
@@ -132,9 +124,7 @@
 #[tokio::test]
 async fn what_may_not_repeat_runs_once_and_is_never_called_not_run(conduct: Conduct) {
     let site = Site::start(1, 2).await.expect("site");
-    for upstream in &site.upstreams {
-        upstream.set_conduct(conduct);
-    }
+    site.set_conduct(conduct);
     let req = site.request(0, "POST", "/book/x", "id1").body("b");
     let got = site.ask(req).await.expect("answer");
     assert_eq!(site.runs("id1"), 1);
@@ -201,9 +191,7 @@
 #[tokio::test]
 async fn an_error_of_an_upstream_is_passed_on_when_none_does_better() {
     let site = Site::start(1, 2).await.expect("site");
-    for upstream in &site.upstreams {
-        upstream.set_conduct(Conduct::Fail);
-    }
+    site.set_conduct(Conduct::Fail);
     let got = site.ask(site.request(0, "GET", "/look/x", "id1"));
     let got = got.await.expect("answer");
     assert_eq!(got.status, 500);
@@ -226,7 +214,7 @@
     let req = site.request(0, "POST", "/stream/x", "id1").body("prompt");
     let got = site.ask(req).await.expect("answer");
     assert_eq!(got.status, 200);
-    assert_eq!(got.body, Some(whole_stream()));
+    assert_eq!(got.body, Some(upstream::whole_stream()));
     assert_eq!(site.upstreams[0].seen().len(), 1);
     assert_eq!(site.upstreams[1].runs("id1") > 0, resumed);
 }
@@ -244,16 +232,14 @@
             // The declining one was asked first and again.
             continue;
         }
-        assert_eq!(got.body, Some(whole_stream()), "not cut off");
+        assert_eq!(got.body, Some(upstream::whole_stream()), "not cut off");
     }
 }
 
 #[tokio::test]
 async fn a_stream_that_cannot_go_on_does_not_look_complete() {
     let site = Site::start(1, 2).await.expect("site");
-    for upstream in &site.upstreams {
-        upstream.set_conduct(Conduct::CutAfter(2));
-    }
+    site.set_conduct(Conduct::CutAfter(2));
     let req = site.request(0, "POST", "/stream/x", "id1").body("prompt");
     let got = site.ask(req).await.expect("head");
     assert_eq!(got.body, None, "the connection closes without an end mark");
@@ -294,210 +280,3 @@
     .await
     .expect("answered in time");
 }
-
-#[tokio::test]
-async fn changes_come_into_force_and_never_go_back() {
-    let site = Site::start(2, 1).await.expect("site");
-    let path = "/new/x";
-    assert_eq!(status(&site, 0, path).await, 404);
-    let table = Table {
-        version: 5,
-        extra: vec!["new".to_owned()],
-        ..Table::default()
-    };
-    site.publish(&table).expect("table");
-    for node in 0..2 {
-        node::eventually("the route is there", async || {
-            status(&site, node, path).await == 200
-        })
-        .await
-        .expect("in force");
-    }
-    // An older version, bytes that are no table and an entry of another writer change nothing.
-    site.publish(&Table::default()).expect("table");
-    site.store.put(names::TABLE_KEY, b"not a table");
-    site.store.put("servers/u9", b"{\"service\": 7}");
-    let barrier = site.store.put("servers/other", b"\xff");
-    assert!(barrier > 0);
-    tokio::time::sleep(time::Duration::from_millis(300)).await;
-    for node in 0..2 {
-        assert_eq!(status(&site, node, path).await, 200);
-    }
-}
-
-async fn status(site: &Site, node: usize, path: &str) -> u16 {
-    let id = format!("{:016x}", rand::random::<u64>());
-    let got = site.ask(site.request(node, "GET", path, &id)).await;
-    got.map_or(0, |got| got.status)
-}
-
-#[tokio::test]
-async fn a_change_passes_a_dropped_history() {
-    let site = Site::start(1, 1).await.expect("site");
-    let table = Table {
-        version: 5,
-        extra: vec!["new".to_owned()],
-        ..Table::default()
-    };
-    site.publish(&table).expect("table");
-    site.store.compact();
-    node::eventually("the route is there", async || {
-        status(&site, 0, "/new/x").await == 200
-    })
-    .await
-    .expect("in force");
-}
-
-#[test_case(Mood::Busy)]
-#[test_case(Mood::Silent)]
-#[tokio::test]
-async fn an_outage_of_the_store_stops_no_request(mood: Mood) {
-    let site = Site::start(2, 2).await.expect("site");
-    site.store.set_mood(mood);
-    for _ in 0..20 {
-        for node in 0..2 {
-            assert_eq!(status(&site, node, "/look/x").await, 200);
-            assert!(site.is_ready(node).await);
-        }
-        tokio::time::sleep(time::Duration::from_millis(50)).await;
-    }
-    site.store.set_mood(Mood::Well);
-    let table = Table {
-        version: 5,
-        extra: vec!["new".to_owned()],
-        ..Table::default()
-    };
-    site.publish(&table).expect("table");
-    for node in 0..2 {
-        node::eventually("the route is there", async || {
-            status(&site, node, "/new/x").await == 200
-        })
-        .await
-        .expect("in force");
-    }
-}
-
-/// The bound of the users for a change to be in force, and the time of a request.
-const IN_FORCE: time::Duration = time::Duration::from_millis(2_200);
-
-#[test_case(0)]
-#[test_case(1)]
-#[test_case(2)]
-#[tokio::test]
-async fn an_instance_that_the_store_turns_away_in_silence_keeps_no_other_behind(node: usize) {
-    let site = Site::start(3, 1).await.expect("site");
-    // Long enough for the others to follow their watchers.
-    tokio::time::sleep(time::Duration::from_millis(1_000)).await;
-    // All watches have just begun to wait.
-    site.store
-        .put("servers/other", b"an entry of another writer");
-    tokio::time::sleep(time::Duration::from_millis(100)).await;
-    site.store.set_mood_at(node, Mood::Silent);
-    tokio::time::sleep(time::Duration::from_millis(100)).await;
-    let table = Table {
-        version: 5,
-        extra: vec!["new".to_owned()],
-        ..Table::default()
-    };
-    let published = time::Instant::now();
-    site.publish(&table).expect("table");
-    for other in (0..3).filter(|other| *other != node) {
-        node::eventually("the route is there", async || {
-            status(&site, other, "/new/x").await == 200
-        })
-        .await
-        .expect("in force");
-        assert!(published.elapsed() < IN_FORCE, "{:?}", published.elapsed());
-    }
-    node::eventually("peers tell the one that is turned away", async || {
-        status(&site, node, "/new/x").await == 200
-    })
-    .await
-    .expect("in force");
-}
-
-#[tokio::test]
-async fn without_a_table_the_answer_is_not_for_good() {
-    let site = Site::start_unready(1, 0).await.expect("site");
-    node::eventually("it answers", async || {
-        status(&site, 0, "/look/x").await == 503
-    })
-    .await
-    .expect("answer");
-    assert!(!site.is_ready(0).await);
-}
-
-#[tokio::test]
-async fn a_draining_upstream_gets_nothing_new() {
-    let site = Site::start(1, 2).await.expect("site");
-    site.list(&site.upstreams[0], "draining").expect("list");
-    node::eventually("it is left out", async || {
-        let got = site.ask(site.request(0, "GET", "/look/x", "probe")).await;
-        got.is_ok_and(|got| got.sealed_by.as_deref() == Some("u1"))
-    })
-    .await
-    .expect("left out");
-    let before = site.upstreams[0].seen().len();
-    for _ in 0..20 {
-        assert_eq!(status(&site, 0, "/look/x").await, 200);
-    }
-    assert_eq!(site.upstreams[0].seen().len(), before);
-}
-
-#[tokio::test]
-async fn a_signal_to_leave_fails_readiness_and_cuts_nothing() {
-    let mut site = Site::start(2, 1).await.expect("site");
-    site.upstreams[0].set_conduct(Conduct::PauseAfterTwo(900));
-    let req = site.request(0, "POST", "/stream/x", "id1").body("prompt");
-    let streaming = tokio::spawn(async move { req.send().await?.text().await });
-    node::eventually("the stream arrives", async || {
-        site.upstreams[0].seen().iter().any(|seen| seen.id == "id1")
-    })
-    .await
-    .expect("arrival");
-    site.nodes[0].process.signal("TERM").expect("signal");
-    node::eventually("readiness fails", async || !site.is_ready(0).await)
-        .await
-        .expect("unready");
-    assert_eq!(status(&site, 0, "/look/x").await, 200, "it still serves");
-    let streamed = streaming.await.expect("task").expect("complete");
-    assert_eq!(streamed, whole_stream());
-    node::eventually("it ends", async || site.nodes[0].process.has_ended())
-        .await
-        .expect("ended");
-    assert_eq!(site.store.keys(names::INSTANCE_PREFIX).len(), 1);
-}
-
-#[tokio::test]
-async fn a_hangup_reads_the_settings_again_and_cuts_nothing() {
-    let mut site = Site::start(1, 1).await.expect("site");
-    site.upstreams[0].set_conduct(Conduct::PauseAfterTwo(500));
-    let req = site.request(0, "POST", "/stream/x", "id1").body("prompt");
-    let streaming = tokio::spawn(async move { req.send().await?.text().await });
-    for _ in 0..3 {
-        site.nodes[0].process.signal("HUP").expect("signal");
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
-    }
-    std::fs::write(&site.nodes[0].settings, "not = settings").expect("write");
-    site.nodes[0].process.signal("HUP").expect("signal");
-    assert_eq!(
-        streaming.await.expect("task").expect("complete"),
-        whole_stream()
-    );
-    assert!(!site.nodes[0].process.has_ended());
-    assert_eq!(status(&site, 0, "/look/x").await, 200);
-}
-
-#[tokio::test]
-async fn a_killed_planner_costs_no_request() {
-    let mut site = Site::start(3, 2).await.expect("site");
-    for node in 0..3 {
-        assert_eq!(status(&site, node, "/look/x").await, 200);
-    }
-    site.nodes.remove(0);
-    for _ in 0..10 {
-        for node in 0..2 {
-            assert_eq!(status(&site, node, "/look/x").await, 200);
-        }
-    }
-}
--- a/standins/tests/reserve.rs
+++ b/standins/tests/reserve.rs
@@ -40,8 +40,7 @@
     site.publish(&table).expect("table");
     for node in 0..2 {
         node::eventually("the figures are in force", async || {
-            let got = site.ask(site.request(node, "GET", "/engines/x", "probe"));
-            got.await.is_ok_and(|got| got.status == 200)
+            site.status(node, "/engines/x").await == 200
         })
         .await
         .expect("in force");
@@ -69,9 +68,7 @@
 #[tokio::test]
 async fn reserved_memory_is_released_when_its_request_ends(conduct: Conduct) {
     let site = site().await;
-    for upstream in &site.upstreams {
-        upstream.set_conduct(conduct);
-    }
+    site.set_conduct(conduct);
     let req = site.request(0, "POST", "/stream/x", "id1");
     let req = req.header(names::TOKENS, SIZE).body("a long prompt");
     // How it is answered is not looked at here.
@@ -82,9 +79,7 @@
 #[tokio::test]
 async fn reserved_memory_is_released_when_its_caller_leaves() {
     let site = site().await;
-    for upstream in &site.upstreams {
-        upstream.set_conduct(Conduct::PauseAfterTwo(20_000));
-    }
+    site.set_conduct(Conduct::PauseAfterTwo(20_000));
     let req = site.request(0, "POST", "/stream/x", "id1");
     let req = req.header(names::TOKENS, SIZE).body("a long prompt");
     let streaming = tokio::spawn(async move { req.send().await?.text().await });
