Wait for the count of a peer that was cut off

Cause: the server drops the connection before the task that served it counts the error, so the caller may see the end first. It still asks for exactly one, within the time limit of the other calls.

--- a/limpetkeeld/tests/peer.rs
+++ b/limpetkeeld/tests/peer.rs
@@ -134,6 +134,13 @@
     let garbage = vec![0xff_u8; 100];
     body.send_data(garbage.into(), true).expect("body");
     assert!(answer.await.is_err());
+    // The connection ends before the server counts why.
     let errors = metrics.peer_errors.with_label_values(&["malformed"]);
-    assert_eq!(errors.get(), 1);
+    let counted = async {
+        while errors.get() == 0 {
+            tokio::time::sleep(time::Duration::from_millis(1)).await;
+        }
+    };
+    let counted = tokio::time::timeout(TIMEOUT, counted).await;
+    assert_eq!((counted, errors.get()), (Ok(()), 1));
 }
