--- a/limpetkeeld/src/relay/settings.rs
+++ b/limpetkeeld/src/relay/settings.rs
@@ -5,7 +5,7 @@
 use limpetkeel::{AvailabilityZoneName, Bytes, InstanceName, Millis, RetryLimit};
 
 use crate::settings::{
-    Error, Problem, SettingsValidator, default_log, in_range, parse_peer_key, parse_settings,
+    Error, SettingsValidator, decimal_in_range, default_log, parse_peer_key, parse_settings,
 };
 
 /// The settings as written in the file.
@@ -24,11 +24,16 @@
     seeds: Vec<toml::Spanned<String>>,
     #[serde(default = "default_workers")]
     workers: toml::Spanned<usize>,
-    leave_timeout_ms: toml::Spanned<u64>,
-    memory_limit_mb: toml::Spanned<u64>,
+    #[serde(default = "default_leave_timeout")]
+    leave_timeout_s: toml::Spanned<f64>,
+    #[serde(default = "default_memory_limit")]
+    memory_limit_mb: toml::Spanned<f64>,
+    #[serde(default = "default_retry_ratio")]
     retry_ratio: toml::Spanned<f64>,
-    retry_allowance: toml::Spanned<u64>,
-    retry_window_ms: toml::Spanned<u64>,
+    #[serde(default = "default_retry_allowance")]
+    retry_allowance: toml::Spanned<f64>,
+    #[serde(default = "default_retry_window")]
+    retry_window_s: toml::Spanned<f64>,
     #[serde(default = "default_log")]
     log: String,
 }
@@ -38,6 +43,29 @@
     toml::Spanned::new(0..0, 2)
 }
 
+/// Long enough for the streams of most requests, in seconds.
+fn default_leave_timeout() -> toml::Spanned<f64> {
+    toml::Spanned::new(0..0, 8.0)
+}
+
+/// The memory of a small instance, in megabytes.
+fn default_memory_limit() -> toml::Spanned<f64> {
+    toml::Spanned::new(0..0, 112.0)
+}
+
+fn default_retry_ratio() -> toml::Spanned<f64> {
+    toml::Spanned::new(0..0, 0.1)
+}
+
+fn default_retry_allowance() -> toml::Spanned<f64> {
+    toml::Spanned::new(0..0, 20.0)
+}
+
+/// In seconds.
+fn default_retry_window() -> toml::Spanned<f64> {
+    toml::Spanned::new(0..0, 10.0)
+}
+
 /// Validated settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -71,24 +99,38 @@
     pub log: String,
 }
 
-/// Valid range of `leave_timeout_ms`.
-const DRAIN_TIMEOUT_BOUNDS_MS: (u64, u64) = (1_000, 600_000);
+/// Valid range of `leave_timeout_s`, in seconds.
+const LEAVE_TIMEOUT_BOUNDS_S: (u64, u64) = (1, 600);
+
+/// Valid range of `retry_window_s`, in seconds.
+const RETRY_WINDOW_BOUNDS_S: (u64, u64) = (0, 600);
 
-/// Valid range of `retry_window_ms`.
-const RETRY_WINDOW_BOUNDS_MS: (u64, u64) = (100, 600_000);
+/// The shortest retry window. A shorter one would count hardly any request.
+const MIN_RETRY_WINDOW: Millis = Millis(100);
 
-/// Valid range of `memory_limit_mb`.
+/// Valid range of `memory_limit_mb`, in megabytes.
 const MEMORY_LIMIT_BOUNDS_MB: (u64, u64) = (1, 1 << 20);
 
+/// Valid range of `retry_ratio`.
+const RETRY_RATIO_BOUNDS: (u64, u64) = (0, 1);
+
+/// Milliseconds per second.
+const MS_PER_S: f64 = 1_000.0;
+
 /// Bytes per megabyte.
-const BYTES_PER_MB: u64 = 1024 * 1024;
+const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// Share of the memory limit available to request bodies, in percent. The rest is for tables,
 /// connections and responses.
 const BODY_MEMORY_PERCENT: u8 = 50;
 
-/// Maximum value of `retry_allowance`.
-const MAX_RETRY_ALLOWANCE: u64 = 1_000_000;
+/// Valid range of `retry_allowance`.
+const RETRY_ALLOWANCE_BOUNDS: (u64, u64) = (0, 1_000_000);
+
+/// Converts seconds to milliseconds, rounded to the nearest.
+fn millis_from_seconds(seconds: f64) -> Millis {
+    Millis((seconds * MS_PER_S).round() as u64)
+}
 
 impl Raw {
     fn validate(&self, validator: &mut SettingsValidator<'_>) -> Option<Settings> {
@@ -102,25 +144,31 @@
         let store = validator.parse_address("store", &self.store);
         let seeds = validator.parse_addresses("seeds", &self.seeds);
         let workers = validator.parse_workers(&self.workers);
-        let (min, max) = DRAIN_TIMEOUT_BOUNDS_MS;
         let drain_timeout = validator.check(
-            "leave_timeout_ms",
-            &self.leave_timeout_ms,
-            in_range(min, max),
+            "leave_timeout_s",
+            &self.leave_timeout_s,
+            decimal_in_range(LEAVE_TIMEOUT_BOUNDS_S),
+        );
+        let memory_mb = validator.check(
+            "memory_limit_mb",
+            &self.memory_limit_mb,
+            decimal_in_range(MEMORY_LIMIT_BOUNDS_MB),
+        );
+        let ratio = validator.check(
+            "retry_ratio",
+            &self.retry_ratio,
+            decimal_in_range(RETRY_RATIO_BOUNDS),
         );
-        let (min, max) = MEMORY_LIMIT_BOUNDS_MB;
-        let memory = validator.check("memory_limit_mb", &self.memory_limit_mb, in_range(min, max));
-        let ratio = validator.check("retry_ratio", &self.retry_ratio, |ratio| {
-            let valid = ratio.is_finite() && (0.0..=1.0).contains(ratio);
-            valid.then_some(*ratio).ok_or(Problem::OutOfRange(0, 1))
-        });
         let allowance = validator.check(
             "retry_allowance",
             &self.retry_allowance,
-            in_range(0, MAX_RETRY_ALLOWANCE),
+            decimal_in_range(RETRY_ALLOWANCE_BOUNDS),
+        );
+        let window = validator.check(
+            "retry_window_s",
+            &self.retry_window_s,
+            decimal_in_range(RETRY_WINDOW_BOUNDS_S),
         );
-        let (min, max) = RETRY_WINDOW_BOUNDS_MS;
-        let window = validator.check("retry_window_ms", &self.retry_window_ms, in_range(min, max));
         Some(Settings {
             instance: instance?,
             availability_zone: availability_zone?,
@@ -132,12 +180,12 @@
             store: store?,
             seeds: seeds?,
             workers: workers?,
-            drain_timeout: Millis(drain_timeout?),
-            body_budget: Bytes(memory? * BYTES_PER_MB).percent(BODY_MEMORY_PERCENT),
+            drain_timeout: millis_from_seconds(drain_timeout?),
+            body_budget: Bytes((memory_mb? * BYTES_PER_MB) as u64).percent(BODY_MEMORY_PERCENT),
             retry_limit: RetryLimit {
                 ratio: ratio?,
-                allowance: allowance? as f64,
-                window: Millis(window?),
+                allowance: allowance?,
+                window: millis_from_seconds(window?).max(MIN_RETRY_WINDOW),
             },
             log: self.log.clone(),
         })
--- a/limpetkeeld/src/settings.rs
+++ b/limpetkeeld/src/settings.rs
@@ -256,6 +256,18 @@
     }
 }
 
+/// Accepts a decimal number from the first to the second bound.
+pub(crate) fn decimal_in_range((low, high): (u64, u64)) -> impl Fn(&f64) -> Result<f64, Problem> {
+    move |value| {
+        // Not a number is in no range.
+        if (low as f64..=high as f64).contains(value) {
+            Ok(*value)
+        } else {
+            Err(Problem::OutOfRange(low, high))
+        }
+    }
+}
+
 impl TryFrom<&str> for Settings {
     type Error = Error;
 
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -171,9 +171,9 @@
         let settings = format!(
             "instance = \"node{index}\"\navailability_zone = \"z\"\nhttp_listen = \"{http_address}\"\n\
              ready_listen = \"{ready_address}\"\nstatus_listen = \"{status_address}\"\npeer_listen = \"{peer_address}\"\n\
-             peer_key = \"a key that all peers share\"\nstore = \"{}\"\nleave_timeout_ms = 7000\n\
+             peer_key = \"a key that all peers share\"\nstore = \"{}\"\nleave_timeout_s = 7\n\
              memory_limit_mb = 1\n\
-             retry_ratio = 0.2\nretry_allowance = 50\nretry_window_ms = 10000\n",
+             retry_ratio = 0.2\nretry_allowance = 50\nretry_window_s = 10\n",
             self.store.addresses[index],
         );
         std::fs::write(&settings_path, settings)?;
