Remember removals by age, drop expired cooldowns and redundant changes

Change: each of these; superseded changes are neither applied nor forwarded (a draining entry is, before its removal), the change log holds the changes of a large deployment, and followers are divided between the two watchers. Dismissed: tried upstreams are used again if none else is reachable, which the number of sends of the route bounds; of two routes with one host and prefix the last of the table wins, the same on all instances, and refusing the table would keep an old version in force.

--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -93,6 +93,7 @@
         for entry in ready {
             self.upstreams
                 .entry(entry.name.clone())
+                .and_modify(|upstream| upstream.set_entry(entry))
                 .or_insert_with(|| upstream::Upstream::new(entry));
         }
         self.prefill_set.set_upstreams(self.upstreams.values());
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -54,6 +54,12 @@
         collections::BTreeMap<ZonePair, collections::BTreeMap<name::UpstreamName, unit::Timestamp>>,
 }
 
+/// Returns `true` if a cooldown still counts for long prompts. An expired one shows nothing about
+/// the zone.
+fn is_recent(now: unit::Timestamp, until: unit::Timestamp) -> bool {
+    until.after(LONG_PROMPT_COOLDOWN) > now
+}
+
 impl UpstreamHealth {
     /// Records the result of an attempt.
     pub(super) fn record(
@@ -93,6 +99,7 @@
     ) {
         let until = now.after(UNREACHABLE_COOLDOWN);
         let cooldowns = self.unreachable.entry(pair).or_default();
+        cooldowns.retain(|_, earlier| is_recent(now, *earlier));
         if cooldowns.len() >= PARTITION_THRESHOLD {
             cooldowns.values_mut().for_each(|earlier| *earlier = until);
         }
@@ -108,9 +115,11 @@
         zone: &name::AvailabilityZoneName,
     ) {
         let pair = (from.clone(), zone.clone());
-        if let Some(cooldowns) = self.unreachable.get_mut(&pair)
-            && cooldowns.len() >= PARTITION_THRESHOLD
-        {
+        let Some(cooldowns) = self.unreachable.get_mut(&pair) else {
+            return;
+        };
+        cooldowns.retain(|_, earlier| is_recent(now, *earlier));
+        if cooldowns.len() >= PARTITION_THRESHOLD {
             for until in cooldowns.values_mut() {
                 *until = (*until).max(now.after(TRIAL_COOLDOWN));
             }
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Replaces the registry entry, whose address, zone or slots may have changed.
+    pub(super) fn set_entry(&mut self, entry: &upstream_registry::Entry) {
+        self.entry = entry.clone();
+    }
+
     /// Records how much later than estimated a response began, in milliseconds; negative if it was
     /// early.
     pub(super) fn record_delay(&mut self, now: unit::Timestamp, ms: f64) {
--- a/limpetkeel/src/store_follower.rs
+++ b/limpetkeel/src/store_follower.rs
@@ -91,14 +91,18 @@
             .any(|watcher| watcher.name == instances.local().name);
         let limit = MIN_STALENESS_LIMIT + self.spread;
         let remaining = limit.saturating_sub(now.since(confirmed_at));
-        let mut usable = watchers
-            .into_iter()
+        // The followers are divided between the watchers, which forward each table to all of them.
+        let first = self.spread.0 as usize % watchers.len().max(1);
+        let (before, preferred) = watchers.split_at(first.min(watchers.len()));
+        let mut usable = preferred
+            .iter()
+            .chain(before)
             .filter(|watcher| !self.backed_off.contains_key(&watcher.name));
         match usable.next() {
             Some(watcher) if !is_watcher && remaining > RESPONSE_ALLOWANCE => {
                 let timeout = remaining.min(MAX_WAIT + RESPONSE_ALLOWANCE);
                 Source::Watcher {
-                    watcher,
+                    watcher: watcher.clone(),
                     wait: timeout.saturating_sub(RESPONSE_ALLOWANCE),
                     timeout,
                 }
--- a/limpetkeel/src/store_snapshot.rs
+++ b/limpetkeel/src/store_snapshot.rs
@@ -34,6 +34,44 @@
     Unreadable(String),
 }
 
+/// What a change concerns.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Subject {
+    Ingress,
+    Upstream(name::UpstreamName),
+    Instance(name::InstanceName),
+    Unreadable(String),
+}
+
+impl Change {
+    fn subject(&self) -> Subject {
+        match self {
+            Change::Ingress(_) => Subject::Ingress,
+            Change::Upstream(entry) => Subject::Upstream(entry.name.clone()),
+            Change::UpstreamRemoved(name, _) => Subject::Upstream(name.clone()),
+            Change::Instance(contact) => Subject::Instance(contact.name.clone()),
+            Change::InstanceRemoved(name) => Subject::Instance(name.clone()),
+            Change::Unreadable(key) => Subject::Unreadable(key.clone()),
+        }
+    }
+
+    /// Returns `true` if a later change of the same subject makes this one redundant.
+    ///
+    /// A draining entry is kept before its removal, since a doubtful removal of an upstream that is
+    /// known to be ready only marks it as missing.
+    fn is_superseded_by(&self, later: &Change) -> bool {
+        match (self, later) {
+            (Change::Ingress(declaration), Change::Ingress(later)) => {
+                declaration.version <= later.version
+            }
+            (Change::Upstream(entry), Change::UpstreamRemoved(..)) => {
+                entry.state == upstream_registry::UpstreamState::Ready
+            }
+            _ => true,
+        }
+    }
+}
+
 /// A sequence of changes.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct Changes {
@@ -44,9 +82,29 @@
     pub changes: Vec<(Change, upstream_registry::Removal)>,
 }
 
+impl Changes {
+    /// Removes the changes that later ones make redundant, so that a burst of tables or of
+    /// restarts is applied and forwarded once.
+    pub fn remove_superseded(&mut self) {
+        let mut latest: collections::BTreeMap<Subject, Change> = collections::BTreeMap::new();
+        let mut kept = Vec::with_capacity(self.changes.len());
+        for (change, removal) in self.changes.drain(..).rev() {
+            let subject = change.subject();
+            let later = latest.get(&subject);
+            if later.is_some_and(|later| change.is_superseded_by(later)) {
+                continue;
+            }
+            latest.insert(subject, change.clone());
+            kept.push((change, removal));
+        }
+        kept.reverse();
+        self.changes = kept;
+    }
+}
+
 /// The largest number of changes in a log. A follower that is further behind gets a complete
-/// snapshot.
-const MAX_LOGGED: usize = 256;
+/// snapshot. The changes of all upstreams and instances of a large deployment fit.
+const MAX_LOGGED: usize = 1_024;
 
 /// The latest changes, for the instances that follow the local one.
 #[derive(Debug, Default)]
@@ -63,8 +121,18 @@
         self.changes.clear();
     }
 
-    /// Appends changes and removes the oldest ones if the log is too long.
+    /// Appends changes, and removes those that they make redundant and the oldest ones if the log
+    /// is too long.
     pub fn append(&mut self, changes: &Changes) {
+        let latest: collections::BTreeMap<_, _> = changes
+            .changes
+            .iter()
+            .map(|(change, _)| (change.subject(), change))
+            .collect();
+        self.changes.retain(|(_, earlier, _)| {
+            let later = latest.get(&earlier.subject());
+            !later.is_some_and(|later| earlier.is_superseded_by(later))
+        });
         for (change, removal) in &changes.changes {
             let entry = (changes.revision, change.clone(), *removal);
             self.changes.push_back(entry);
--- a/limpetkeel/src/upstream_registry.rs
+++ b/limpetkeel/src/upstream_registry.rs
@@ -45,8 +45,9 @@
 #[derive(Debug)]
 struct TrackedEntry {
     entry: Entry,
-    /// When the entry disappeared, if it did so while the store was unhealthy.
-    missing_since: Option<unit::Timestamp>,
+    /// When and at which revision the entry disappeared, if it did so while the store was
+    /// unhealthy.
+    missing_since: Option<(unit::Timestamp, revision::Revision)>,
 }
 
 /// Whether the removal of an entry means that its upstream has stopped.
@@ -74,15 +75,18 @@
         self.generation
     }
 
-    /// Applies an entry if its revision is newer than the last one of the upstream, or if the known
-    /// entry is missing. Returns `true` if the entry was applied.
+    /// Applies an entry if its revision is newer than the last one of the upstream, or if it is the
+    /// known entry and that is missing. Returns `true` if the entry was applied.
     pub fn upsert(&mut self, entry: Entry) -> bool {
         let known = self.entries.get(&entry.name);
         let newest = known
             .map(|tracked| tracked.entry.revision)
             .max(self.removed.get(&entry.name).copied());
         let was_missing = known.is_some_and(|tracked| tracked.missing_since.is_some());
-        if newest.is_some_and(|newest| newest >= entry.revision) && !was_missing {
+        let is_outdated = newest.is_some_and(|newest| {
+            newest > entry.revision || (newest == entry.revision && !was_missing)
+        });
+        if is_outdated {
             return false;
         }
         self.removed.remove(&entry.name);
@@ -114,7 +118,7 @@
         self.generation += 1;
         match removal {
             Removal::Doubtful if tracked.entry.state == UpstreamState::Ready => {
-                tracked.missing_since.get_or_insert(now);
+                tracked.missing_since.get_or_insert((now, at));
             }
             _ => {
                 self.entries.remove(name);
@@ -149,17 +153,25 @@
     /// Removes the entries that have been missing for too long, and limits the number of remembered
     /// removals.
     pub fn remove_expired(&mut self, now: unit::Timestamp) {
-        let before = self.entries.len();
-        self.entries.retain(|_, tracked| {
-            tracked
-                .missing_since
-                .is_none_or(|since| now.since(since) < MISSING_GRACE)
-        });
-        if self.entries.len() != before {
+        let expired: Vec<_> = self
+            .entries
+            .iter()
+            .filter_map(|(name, tracked)| {
+                let (since, at) = tracked.missing_since?;
+                (now.since(since) >= MISSING_GRACE).then(|| (name.clone(), at))
+            })
+            .collect();
+        for (name, at) in expired {
             self.generation += 1;
+            self.entries.remove(&name);
+            self.removed.insert(name, at);
         }
-        while self.removed.len() > MAX_REMOVED {
-            self.removed.pop_first();
+        let excess = self.removed.len().saturating_sub(MAX_REMOVED);
+        if excess > 0 {
+            let mut revisions: Vec<_> = self.removed.values().copied().collect();
+            revisions.sort();
+            let oldest_kept = revisions[excess];
+            self.removed.retain(|_, at| *at >= oldest_kept);
         }
     }
 
--- a/limpetkeel/tests/planner.rs
+++ b/limpetkeel/tests/planner.rs
@@ -154,6 +154,38 @@
     assert!(after.count() > 3, "a response ends the partition");
 }
 
+#[test]
+fn an_expired_cooldown_does_not_make_a_zone_partitioned() {
+    let mut planner = pool::planner(6);
+    // Two upstreams of zone `y` were lost long ago, and one fails now.
+    pool::report_unreachable(&mut planner, &["e01", "e04"]);
+    let now = 60_000;
+    let request = pool::plan_request(7, 1_000);
+    let plan = planner.plan(Timestamp(now), &request).expect("plan");
+    pool::record_result(&mut planner, now, &plan, "e01", AttemptResult::Unreachable);
+    let mut leads = std::collections::BTreeSet::new();
+    for id in 10..40 {
+        let plan = planner
+            .plan(Timestamp(now + 10), &pool::plan_request(id, 1_000))
+            .expect("plan");
+        leads.insert(plan.lead.upstream.to_string());
+    }
+    assert!(leads.contains("e04"), "{leads:?}");
+    assert!(!leads.contains("e01"), "{leads:?}");
+}
+
+#[test]
+fn a_changed_address_is_used() {
+    let mut planner = pool::planner(1);
+    let mut moved = pool::entry(0);
+    moved.address = ([10, 0, 9, 9], 8080).into();
+    planner.set_upstreams(2, std::slice::from_ref(&moved));
+    let plan = planner
+        .plan(Timestamp(0), &pool::plan_request(1, 1_000))
+        .expect("plan");
+    assert_eq!(plan.lead.address, moved.address);
+}
+
 #[test]
 fn a_retry_avoids_tried_upstreams_unless_all_were_tried() {
     let mut planner = pool::planner(2);
--- a/limpetkeel/tests/store_follower.rs
+++ b/limpetkeel/tests/store_follower.rs
@@ -139,6 +139,23 @@
     assert!(old < timeout_at(&mut follower, LAST_CONFIRMED));
 }
 
+#[test]
+fn the_followers_are_divided_between_the_watchers() {
+    let mut counts = collections::BTreeMap::<InstanceName, usize>::new();
+    for registry in followers(&instances(300)) {
+        let mut follower = StoreFollower::new(&registry.local().name);
+        follower.record_current(LAST_CONFIRMED, Millis::ZERO);
+        match follower.source(LAST_CONFIRMED, &registry) {
+            StoreSource::Watcher { watcher, .. } => {
+                *counts.entry(watcher.name).or_default() += 1;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(counts.len(), 6, "two watchers in each of three zones");
+    assert!(counts.values().all(|count| *count >= 30), "{counts:?}");
+}
+
 #[test]
 fn an_instance_without_a_snapshot_reads_the_store() {
     let all = instances(18);
--- /dev/null
+++ b/limpetkeel/tests/store_snapshot.rs
@@ -0,0 +1,165 @@
+//! Tests of the changes that instances forward to each other: redundant ones are removed, and a
+//! follower at any revision ends with the same entries.
+
+use limpetkeel::{
+    Contact, IngressDeclaration, Millis, Removal, RequestLimits, Revision, StoreChange,
+    StoreChangeLog, StoreChanges, Timestamp, UpstreamRegistry, UpstreamRegistryEntry,
+    UpstreamState,
+};
+
+fn upstream(name: &str, state: UpstreamState, revision: u64) -> StoreChange {
+    StoreChange::Upstream(UpstreamRegistryEntry {
+        name: name.try_into().expect("name"),
+        pool: "desk".try_into().expect("name"),
+        availability_zone: "songino".try_into().expect("name"),
+        address: ([127, 0, 0, 1], 8080).into(),
+        slots: 6,
+        state,
+        start_time: 1,
+        revision: Revision(revision),
+    })
+}
+
+fn removed(name: &str, revision: u64) -> StoreChange {
+    StoreChange::UpstreamRemoved(name.try_into().expect("name"), Revision(revision))
+}
+
+fn table(version: u64) -> StoreChange {
+    let limits = RequestLimits {
+        max_head: limpetkeel::Bytes(1_024),
+        max_body: limpetkeel::Bytes(1_024),
+        head_timeout: Millis(1_000),
+        idle_timeout: Millis(1_000),
+    };
+    let declaration = IngressDeclaration {
+        version,
+        routes: Vec::new(),
+        pools: Vec::new(),
+        workspaces: Vec::new(),
+        limits,
+    };
+    StoreChange::Ingress(declaration.into())
+}
+
+fn changes(revision: u64, changes: Vec<StoreChange>) -> StoreChanges {
+    let changes = changes
+        .into_iter()
+        .map(|change| (change, Removal::Doubtful));
+    StoreChanges {
+        revision: Revision(revision),
+        changes: changes.collect(),
+    }
+}
+
+/// Returns the versions of the tables among the changes.
+fn versions(changes: &StoreChanges) -> Vec<u64> {
+    let changes = changes.changes.iter();
+    changes
+        .filter_map(|(change, _)| match change {
+            StoreChange::Ingress(declaration) => Some(declaration.version),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn only_the_newest_of_a_burst_of_tables_is_forwarded() {
+    let mut burst = changes(9, vec![table(1), table(4), table(7)]);
+    burst.remove_superseded();
+    assert_eq!(versions(&burst), [7]);
+    let mut log = StoreChangeLog::default();
+    log.append(&changes(1, vec![table(1)]));
+    log.append(&changes(2, vec![table(4)]));
+    let newer = log.since(Revision(0), Revision(2)).expect("complete");
+    assert_eq!(versions(&newer), [4]);
+}
+
+#[test]
+fn an_older_table_does_not_supersede_a_newer_one() {
+    let mut burst = changes(9, vec![table(7), table(4)]);
+    burst.remove_superseded();
+    assert!(versions(&burst).contains(&7));
+}
+
+#[test]
+fn a_draining_entry_is_forwarded_before_its_doubtful_removal() {
+    let mut registry = UpstreamRegistry::default();
+    let mut burst = changes(
+        5,
+        vec![upstream("a", UpstreamState::Draining, 4), removed("a", 5)],
+    );
+    burst.remove_superseded();
+    apply(
+        &mut registry,
+        &changes(1, vec![upstream("a", UpstreamState::Ready, 1)]),
+    );
+    apply(&mut registry, &burst);
+    assert!(!registry.has_ready_upstream());
+    assert!(registry.get(&"a".try_into().expect("name")).is_none());
+}
+
+fn apply(registry: &mut UpstreamRegistry, changes: &StoreChanges) {
+    for (change, removal) in changes.changes.clone() {
+        match change {
+            StoreChange::Upstream(entry) => {
+                registry.upsert(entry);
+            }
+            StoreChange::UpstreamRemoved(name, at) => {
+                registry.remove(Timestamp(0), &name, at, removal);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Returns the entries that a registry considers present.
+fn entries(registry: &UpstreamRegistry) -> Vec<UpstreamRegistryEntry> {
+    registry.entries().cloned().collect()
+}
+
+#[test]
+fn a_follower_at_any_revision_ends_with_the_same_entries() {
+    let batches: Vec<_> = (1..60)
+        .map(|revision| {
+            let name = format!("u{}", revision * 7 % 13);
+            let change = match revision * 5 % 3 {
+                0 => upstream(&name, UpstreamState::Ready, revision),
+                1 => upstream(&name, UpstreamState::Draining, revision),
+                _ => removed(&name, revision),
+            };
+            changes(revision, vec![change])
+        })
+        .collect();
+    let mut log = StoreChangeLog::default();
+    let mut current = UpstreamRegistry::default();
+    for batch in &batches {
+        log.append(batch);
+        apply(&mut current, batch);
+    }
+    let newest = Revision(batches.len() as u64);
+    for known in 0..batches.len() {
+        let mut follower = UpstreamRegistry::default();
+        for batch in &batches[..known] {
+            apply(&mut follower, batch);
+        }
+        let forwarded = log.since(Revision(known as u64), newest);
+        apply(&mut follower, &forwarded.expect("the log is complete"));
+        assert_eq!(entries(&follower), entries(&current), "after {known}");
+    }
+}
+
+#[test]
+fn a_burst_of_restarts_fits_into_the_log() {
+    let mut log = StoreChangeLog::default();
+    let contact = |number: u64| Contact {
+        name: format!("n{number}").as_str().try_into().expect("name"),
+        availability_zone: "songino".try_into().expect("name"),
+        address: ([127, 0, 0, 1], 7000).into(),
+    };
+    for revision in 1..=1_500 {
+        let change = StoreChange::Instance(contact(revision % 300));
+        log.append(&changes(revision, vec![change]));
+    }
+    let all = log.since(Revision(0), Revision(1_500)).expect("complete");
+    assert_eq!(all.changes.len(), 300);
+}
--- a/limpetkeel/tests/upstream_registry.rs
+++ b/limpetkeel/tests/upstream_registry.rs
@@ -122,3 +122,42 @@
     registry.upsert(entry("a", 2));
     assert!(registry.generation() > before);
 }
+
+#[test]
+fn an_expired_entry_is_restored_only_by_a_newer_one() {
+    let mut registry = registry(&["a"]);
+    let name = "a".try_into().expect("name");
+    registry.remove(Timestamp(0), &name, Revision(5), Removal::Doubtful);
+    registry.remove_expired(Timestamp(3_000));
+    assert!(!registry.upsert(entry("a", 1)), "a late response");
+    assert!(
+        registry.upsert(entry("a", 6)),
+        "the platform wrote it again"
+    );
+}
+
+#[test]
+fn an_older_entry_does_not_restore_a_missing_one() {
+    let mut registry = registry(&[]);
+    registry.upsert(entry("a", 4));
+    registry.replace(Timestamp(0), Vec::new(), Revision(5), Removal::Doubtful);
+    assert!(!registry.upsert(entry("a", 3)));
+    assert!(registry.upsert(entry("a", 4)), "a peer that lists it");
+}
+
+#[test]
+fn the_oldest_removals_are_forgotten_first() {
+    let mut registry = UpstreamRegistry::default();
+    let names: Vec<String> = (0..1_100).rev().map(|n| format!("u{n:04}")).collect();
+    for (revision, name) in (1..).zip(&names) {
+        registry.upsert(entry(name, revision));
+    }
+    for (revision, name) in (2_000..).zip(&names) {
+        let name = name.as_str().try_into().expect("name");
+        registry.remove(Timestamp(0), &name, Revision(revision), Removal::Certain);
+    }
+    registry.remove_expired(Timestamp(0));
+    let (oldest, latest) = (&names[0], &names[1_099]);
+    assert!(registry.upsert(entry(oldest, 1)), "forgotten");
+    assert!(!registry.upsert(entry(latest, 1_100)), "remembered");
+}
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -150,11 +150,13 @@
     let update = result.map_err(Failure::Store)?;
     let removal = store_updates::classify_removal(&shared.tables.lock(), shared.clock.now());
     let changes = update.changes.into_iter().map(|change| (change, removal));
+    let mut changes = StoreChanges {
+        revision: update.revision,
+        changes: changes.collect(),
+    };
+    changes.remove_superseded();
     Ok(Received {
-        update: jobs::TableUpdate::Changes(StoreChanges {
-            revision: update.revision,
-            changes: changes.collect(),
-        }),
+        update: jobs::TableUpdate::Changes(changes),
         age: Millis::ZERO,
     })
 }
