--- a/limpetkeel/src/store_snapshot.rs
+++ b/limpetkeel/src/store_snapshot.rs
@@ -15,6 +15,9 @@
     pub upstreams: Vec<upstream_registry::Entry>,
     /// The instances of the system.
     pub instances: Vec<member::Contact>,
+    /// The entries that cannot be decoded. They are counted by the instance that reads the store.
+    #[serde(skip)]
+    pub unreadable: Vec<String>,
 }
 
 /// One change in the store.
--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -25,6 +25,7 @@
         ingress: tables.ingress.declaration().cloned(),
         upstreams: tables.upstreams.entries().cloned().collect(),
         instances: shared.membership.lock().instances.contacts(),
+        unreadable: Vec::new(),
     }
 }
 
@@ -46,6 +47,9 @@
     if snapshot.revision < tables.revision {
         return;
     }
+    for key in &snapshot.unreadable {
+        record_unreadable(shared, key);
+    }
     if let Some(declaration) = snapshot.ingress {
         apply_ingress(&mut tables, declaration);
     }
@@ -112,13 +116,16 @@
         }
         StoreChange::Instance(contact) => shared.membership.lock().instances.insert(contact),
         StoreChange::InstanceRemoved(name) => shared.membership.lock().instances.remove(&name),
-        StoreChange::Unreadable(key) => {
-            shared.metrics.relay.unreadable_entries.inc();
-            tracing::warn!(event = "entry_unreadable", key);
-        }
+        StoreChange::Unreadable(key) => record_unreadable(shared, &key),
     }
 }
 
+/// Counts and logs an entry that cannot be decoded.
+fn record_unreadable(shared: &shared::Shared, key: &str) {
+    shared.metrics.relay.unreadable_entries.inc();
+    tracing::warn!(event = "entry_unreadable", key);
+}
+
 /// Returns how to treat an entry that the store reports as deleted at `now`.
 pub fn classify_removal(tables: &shared::Tables, now: Timestamp) -> Removal {
     if now < tables.doubtful_until {
--- a/standins/src/deployment/store.rs
+++ b/standins/src/deployment/store.rs
@@ -43,6 +43,10 @@
     response_modes: Vec<ResponseMode>,
     /// The number of received calls.
     calls: usize,
+    /// The number of items on a page.
+    page_size: usize,
+    /// Items of an unexpected form, which the first page of each read contains.
+    malformed_items: Vec<serde_json::Value>,
 }
 
 impl State {
@@ -116,6 +120,9 @@
 type Query = collections::BTreeMap<String, String>;
 type Response = http::Response<http_body_util::Full<bytes::Bytes>>;
 
+/// The number of items on a page.
+const DEFAULT_PAGE_SIZE: usize = 500;
+
 /// The interval at which expired leases are revoked.
 const EXPIRY_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
@@ -144,6 +151,8 @@
             next_lease: 1,
             response_modes: vec![ResponseMode::Normal; address_count],
             calls: 0,
+            page_size: DEFAULT_PAGE_SIZE,
+            malformed_items: Vec::new(),
         };
         let store = Store {
             addresses: addresses?,
@@ -206,6 +215,16 @@
         revision
     }
 
+    /// Sets the number of items on a page.
+    pub fn set_page_size(&self, page_size: usize) {
+        self.state.lock().page_size = page_size;
+    }
+
+    /// Adds an item of an unexpected form to the first page of each read.
+    pub fn add_malformed_item(&self, item: serde_json::Value) {
+        self.state.lock().malformed_items.push(item);
+    }
+
     /// Deletes a key.
     pub fn delete(&self, key: &str) {
         self.state.lock().delete(key);
@@ -276,12 +295,19 @@
         let state = self.state.lock();
         let prefix = query.get("prefix").map_or("", String::as_str);
         let after = query.get("after").map_or("", String::as_str);
-        let items = state.items.values().filter(|item| {
+        let mut remaining = state.items.values().filter(|item| {
             item.key.starts_with(prefix) && (after.is_empty() || item.key.as_str() > after)
         });
+        let mut items = Vec::new();
+        if after.is_empty() {
+            let malformed = state.malformed_items.iter().cloned();
+            items.extend(malformed.map(wire::ReceivedItem::Unreadable));
+        }
+        let page = remaining.by_ref().take(state.page_size).cloned();
+        items.extend(page.map(wire::ReceivedItem::Readable));
         json_response(&wire::ReadResponse {
-            items: items.cloned().collect(),
-            has_more: false,
+            items,
+            has_more: remaining.next().is_some(),
             store_revision: state.revision,
         })
     }
@@ -309,6 +335,7 @@
                     .iter()
                     .filter(|item| item.revision > after && item.key.starts_with(prefix))
                     .cloned()
+                    .map(wire::ReceivedItem::Readable)
                     .collect();
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
                     let store_revision = state.revision;
@@ -382,9 +409,13 @@
 }
 
 fn parse_query(query: &str) -> Query {
+    let decode = |text: &str| {
+        let decoded = percent_encoding::percent_decode_str(text);
+        decoded.decode_utf8_lossy().into_owned()
+    };
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .map(|(name, value)| (name.to_owned(), decode(value)))
         .collect()
 }
 
--- a/standins/tests/relay_life.rs
+++ b/standins/tests/relay_life.rs
@@ -60,6 +60,41 @@
     .expect("in force");
 }
 
+#[tokio::test]
+async fn unreadable_items_and_unusual_keys_disturb_no_other_entry() {
+    let deployment = Deployment::start_with_empty_store(1, 2)
+        .await
+        .expect("deployment");
+    // The page after each of these begins with its key.
+    for key in ["a b", "a+b", "a&b=c", "a#b", "a%2Fb", "\u{e9}\u{fffd}"] {
+        deployment.store.put(key, b"of another system");
+    }
+    deployment.store.set_page_size(1);
+    let malformed = [
+        serde_json::json!({"key": "servers/u7", "value": "e30=", "revision": "seven"}),
+        serde_json::json!({"key": 7, "revision": 7}),
+        serde_json::json!([]),
+    ];
+    for item in malformed {
+        deployment.store.add_malformed_item(item);
+    }
+    deployment.store.put("servers/u8", b"\xff\x00");
+    deployment.store.compact();
+    deployment.publish_table(&Table::default()).expect("table");
+    for upstream in &deployment.upstreams {
+        deployment
+            .register_upstream(upstream, "ready")
+            .expect("registered");
+    }
+    deployment.wait_ready(0).await.expect("ready");
+    for _ in 0..4 {
+        assert_eq!(deployment.get_status(0, "/look/x").await, 200);
+    }
+    let log = deployment.log();
+    let counted = log.matches("event=entry_unreadable").count();
+    assert!(counted >= 3, "{log}");
+}
+
 #[test_case(ResponseMode::Refuse)]
 #[test_case(ResponseMode::Hang)]
 #[tokio::test]
