Ask no engine for more parts of long prompts than it accepts

Measured: a_burst_of_long_prompts_asks_no_engine_for_more_parts_than_it_accepts failed with up to 32 parts where 16 are accepted, and passes.

--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -98,6 +98,8 @@
     WouldMissDeadline,
     /// No engine currently has enough free memory for the prompt.
     NoMemory,
+    /// Every engine that prefills long prompts already helps as many leads as it accepts.
+    NoHelper,
     /// The deadline passed while the request waited for a grant.
     DeadlineWhileWaiting,
     /// The byte budget of the instance for queued request bodies is exhausted.
@@ -184,6 +186,7 @@
             Error::RevisionConflict { .. } => "lost_race",
             Error::WouldMissDeadline => "would_miss_deadline",
             Error::NoMemory => "no_memory",
+            Error::NoHelper => "no_helper",
             Error::DeadlineWhileWaiting => "deadline_while_waiting",
             Error::BodyBudgetExhausted => "body_budget_exhausted",
             Error::QueueFull => "queue_full",
@@ -224,6 +227,7 @@
             | Error::InvalidDeclaration { .. } => Category::Input,
             Error::WouldMissDeadline
             | Error::NoMemory
+            | Error::NoHelper
             | Error::DeadlineWhileWaiting
             | Error::BodyBudgetExhausted
             | Error::QueueFull
@@ -283,6 +287,7 @@
                 )
             }
             Error::NoMemory => f.write_str("no engine has memory for the prompt now"),
+            Error::NoHelper => f.write_str("no engine can prefill a part of the prompt now"),
             Error::WouldMissDeadline => {
                 f.write_str("the request could not finish before its deadline")
             }
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -115,7 +115,8 @@
     ///
     /// Returns [`error::Error::NoUpstream`] if the pool has no upstream,
     /// [`error::Error::PromptTooLong`] if the prompt exceeds the plannable memory of the pool,
-    /// [`error::Error::NoMemory`] if its parts do not fit into the free memory, and
+    /// [`error::Error::NoMemory`] if its parts do not fit into the free memory,
+    /// [`error::Error::NoHelper`] if no engine accepts a part of it, and
     /// [`error::Error::WouldMissDeadline`] if the estimate of a request that one upstream serves
     /// alone leaves too little of its remaining time.
     pub fn plan(
--- a/limpetkeel/src/planner/helpers.rs
+++ b/limpetkeel/src/planner/helpers.rs
@@ -1,7 +1,7 @@
 //! The choice of the engines that help a lead to prefill a long prompt.
 
 use crate::{
-    engine, grant, ingress, plan,
+    engine, error, grant, ingress, plan,
     planner::{self, upstream},
     unit,
 };
@@ -136,19 +136,34 @@
 
 impl planner::Planner {
     /// Returns the engines of the prefill set that may help a lead.
+    ///
+    /// This answers bursts of long prompts: an engine that is asked for more parts than it accepts
+    /// declines the complete request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Error::NoHelper`] if all of them help as many leads as they accept.
     pub(super) fn helper_candidates<'a>(
         &'a self,
         now: unit::Timestamp,
         lead: &grant::UpstreamAddress,
         request: &'a plan::PlanRequest,
-    ) -> Vec<&'a upstream::Upstream> {
+    ) -> error::Result<Vec<&'a upstream::Upstream>> {
         let zone = &request.availability_zone;
-        self.candidates(now, request)
+        let usable: Vec<_> = self
+            .candidates(now, request)
             .filter(|upstream| self.prefill_set.contains(upstream.name()))
             .filter(|upstream| *upstream.name() != lead.upstream)
             .filter(|upstream| self.health.is_reliable(now, zone, upstream))
             .filter(|upstream| self.health.failure_rate(now, upstream.name()) < MAX_FAILURE_RATE)
-            .collect()
+            .collect();
+        if !usable.is_empty() && !usable.iter().any(|upstream| upstream.accepts_part()) {
+            return Err(error::Error::NoHelper);
+        }
+        Ok(usable
+            .into_iter()
+            .filter(|upstream| upstream.accepts_part())
+            .collect())
     }
 
     /// Chooses the helpers of a lead: the division with the lowest cost, which weighs the time of
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -40,12 +40,17 @@
         let plan::ReportedPlan { plan, size, .. } = reported_plan;
         let mut reserved = unit::Tokens::ZERO;
         for helper in &plan.helpers {
-            if let Some(tokens) = helper.reserve
-                && let Some(upstream) = self.upstreams.get_mut(&helper.engine.upstream)
-            {
+            let Some(upstream) = self.upstreams.get_mut(&helper.engine.upstream) else {
+                continue;
+            };
+            upstream.add_part(plan.id);
+            if let Some(tokens) = helper.reserve {
                 upstream.reserve(plan.id, tokens);
                 reserved += tokens;
             }
+            if reported_plan.response_begun {
+                upstream.finish_part(plan.id);
+            }
         }
         let prompt_length = if self.is_long(size.prompt) {
             upstream::PromptLength::Long
@@ -92,6 +97,11 @@
         let Some(record) = self.plans.get(&id) else {
             return;
         };
+        for name in &record.participants {
+            if let Some(upstream) = self.upstreams.get_mut(name) {
+                upstream.finish_part(id);
+            }
+        }
         let elapsed = now.since(record.planned_at).0 as f64;
         let delay = elapsed - record.estimate.0 as f64;
         // With helpers, the delay cannot be attributed to one engine.
--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -39,7 +39,7 @@
         self.resize_prefill_set(now, Some(timing), &request.availability_zone);
         let usable_memory = timing.memory().percent(USABLE_MEMORY_PERCENT);
         let (lead, fits) = self.choose_lead(now, timing, request, usable_memory)?;
-        let candidates = self.helper_candidates(now, &lead, request);
+        let candidates = self.helper_candidates(now, &lead, request)?;
         let reservations = if fits {
             Vec::new()
         } else {
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -35,6 +35,8 @@
     prefill_until_ms: f64,
     streams: collections::BTreeMap<grant::RequestId, Stream>,
     reservations: collections::BTreeMap<grant::RequestId, unit::Tokens>,
+    /// The requests of other leads of which this upstream prefills a part.
+    parts: collections::BTreeSet<grant::RequestId>,
     /// The memory of all streams and reservations.
     memory: unit::Tokens,
     /// How much later than estimated responses begin, in milliseconds, and when it was updated.
@@ -58,6 +60,7 @@
             prefill_until_ms: 0.0,
             streams: collections::BTreeMap::new(),
             reservations: collections::BTreeMap::new(),
+            parts: collections::BTreeSet::new(),
             memory: unit::Tokens::ZERO,
             delay: (0.0, unit::Timestamp::ZERO),
         }
@@ -207,8 +210,27 @@
         self.reservations.insert(id, memory);
     }
 
-    /// Removes the stream and the reservation of a request.
+    /// Returns `true` if the upstream accepts a part of another request. An engine helps as many
+    /// leads as it has slots and declines further parts.
+    pub(super) fn accepts_part(&self) -> bool {
+        self.parts.len() < self.entry.slots as usize
+    }
+
+    /// Adds a part of a request that another upstream leads.
+    pub(super) fn add_part(&mut self, id: grant::RequestId) {
+        self.parts.insert(id);
+    }
+
+    /// Removes the part of a request that has been prefilled, unless its memory is reserved here.
+    pub(super) fn finish_part(&mut self, id: grant::RequestId) {
+        if !self.reservations.contains_key(&id) {
+            self.parts.remove(&id);
+        }
+    }
+
+    /// Removes the stream, the part and the reservation of a request.
     pub(super) fn release(&mut self, id: grant::RequestId) {
+        self.parts.remove(&id);
         let freed = self.streams.remove(&id).map(|stream| stream.memory);
         let freed = freed.into_iter();
         let freed: unit::Tokens = freed.chain(self.reservations.remove(&id)).sum();
--- a/limpetkeel/tests/planner_long.rs
+++ b/limpetkeel/tests/planner_long.rs
@@ -183,3 +183,35 @@
         .expect("plan");
     assert_eq!(streams.contains(&plan.lead.upstream), expected, "{plan:?}");
 }
+
+#[test]
+fn a_burst_of_long_prompts_asks_no_engine_for_more_parts_than_it_accepts() {
+    let mut planner = pool::planner(12);
+    let mut parts = std::collections::BTreeMap::new();
+    let mut planned = Vec::new();
+    let mut refused = 0;
+    for id in 0..200 {
+        // The prompts of a burst arrive within a second, and none has been prefilled.
+        match planner.plan(Timestamp(id * 5), &pool::plan_request(id, 21_000)) {
+            Ok(plan) => {
+                for helper in &plan.helpers {
+                    *parts.entry(helper.engine.upstream.clone()).or_insert(0) += 1;
+                }
+                planned.push(plan);
+            }
+            Err(Error::NoHelper) => refused += 1,
+            Err(Error::NoMemory) => {}
+            Err(e) => panic!("{e}"),
+        }
+    }
+    let slots = pool::engine_parameters().slots;
+    assert!(parts.values().all(|count| *count <= slots), "{parts:?}");
+    assert!(refused > 0, "the burst exceeds what the engines accept");
+    // The engines accept parts again once the prompts have been prefilled.
+    for plan in &planned {
+        planner.record_response_begun(Timestamp(4_000), plan.id);
+    }
+    planner
+        .plan(Timestamp(4_000), &pool::plan_request(500, 21_000))
+        .expect("plan");
+}
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -363,7 +363,10 @@
             Ok(planned) => return Ok(planned),
             Err(e) => e,
         };
-        let retryable = matches!(refusal, Error::NoMemory | Error::NoUpstream(_));
+        let retryable = matches!(
+            refusal,
+            Error::NoMemory | Error::NoHelper | Error::NoUpstream(_)
+        );
         if !retryable || shared.clock.now() >= wait_until {
             tracing::info!(
                 event = "plan_refused",
