--- a/limpetkeel/src/planner/helpers.rs
+++ b/limpetkeel/src/planner/helpers.rs
@@ -17,7 +17,7 @@
 const MAX_FAILURE_RATE: f64 = 0.5;
 
 /// The cost of each stream that a part delays beyond its largest allowed gap, in milliseconds.
-pub(super) const DELAYED_STREAM_COST_MS: f64 = 150.0;
+pub(super) const DELAYED_STREAM_COST_MS: f64 = 300.0;
 
 /// The cost of each part, in milliseconds. Each engine may fail, and a pass has a fixed cost even if
 /// it prefills few tokens.
