--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -15,8 +15,8 @@
 const ASSUMED_PARTS: usize = 6;
 
 /// The cost of a lead for each stream with a short prompt that it decodes, in milliseconds. It is
-/// half the cost of a delayed stream, since other long prompts are planned there afterwards.
-const SHORT_STREAM_COST_MS: f64 = 150.0;
+/// lower than that of a delayed stream, since it counts long prompts that are planned there later.
+const SHORT_STREAM_COST_MS: f64 = 75.0;
 
 /// The cost of a lead without enough free memory for the request, in milliseconds. It is ten times
 /// that of a lead in the prefill set, since the reservations on other engines may fail.
--- a/limpetkeel/src/store_follower.rs
+++ b/limpetkeel/src/store_follower.rs
@@ -112,7 +112,7 @@
         let remaining = limit.saturating_sub(now.since(confirmed_at));
         // The followers are divided between the watchers, which forward each table to all of them.
         let first = self.spread.0 as usize % watchers.len().max(1);
-        let (before, preferred) = watchers.split_at(first.min(watchers.len()));
+        let (before, preferred) = watchers.split_at(first);
         let mut usable = preferred
             .iter()
             .chain(before)
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -94,7 +94,9 @@
             (Ok(Received { update, age }), _) => {
                 retry_delay = MIN_RETRY_DELAY;
                 shared.jobs.update_tables(update).await;
-                record_current(&shared, age);
+                if let Some(age) = age {
+                    record_current(&shared, age);
+                }
             }
             (Err(Failure::Store(port::StoreError::HistoryLost)), _) => {
                 record_history_lost(&shared);
@@ -115,8 +117,8 @@
 /// An update from a source.
 struct Received {
     update: jobs::TableUpdate,
-    /// The time since the source was known to be current.
-    age: Millis,
+    /// The time since the source was known to be current, or `None` if it may be outdated.
+    age: Option<Millis>,
 }
 
 /// Selects the source to use next.
@@ -133,7 +135,7 @@
     let snapshot = result.map_err(Failure::Store)?;
     Ok(Received {
         update: jobs::TableUpdate::Snapshot(snapshot, jobs::SnapshotSource::Store),
-        age: Millis::ZERO,
+        age: Some(Millis::ZERO),
     })
 }
 
@@ -142,10 +144,12 @@
     let after = shared.tables.lock().revision;
     let result = tokio::select! {
         update = shared.store.watch(after) => record_store_call(shared, "watch", update),
-        probed = probe_during_watch(shared, after) => probed.map(|()| port::StoreUpdate {
-            revision: after,
-            changes: Vec::new(),
-        }),
+        probed = probe_during_watch(shared, after) => {
+            return probed.map_err(Failure::Store).map(|()| Received {
+                update: jobs::TableUpdate::Changes(StoreChanges::default()),
+                age: None,
+            });
+        }
     };
     let update = result.map_err(Failure::Store)?;
     let removal = store_updates::classify_removal(&shared.tables.lock(), shared.clock.now());
@@ -157,7 +161,7 @@
     changes.remove_superseded();
     Ok(Received {
         update: jobs::TableUpdate::Changes(changes),
-        age: Millis::ZERO,
+        age: Some(Millis::ZERO),
     })
 }
 
@@ -201,13 +205,13 @@
         message::Response::Changes(message::ChangesResponse::Changes(changes, age)) => {
             Ok(Received {
                 update: jobs::TableUpdate::Changes(changes),
-                age,
+                age: Some(age),
             })
         }
         message::Response::Changes(message::ChangesResponse::Snapshot(snapshot, age)) => {
             Ok(Received {
                 update: jobs::TableUpdate::Snapshot(snapshot, jobs::SnapshotSource::Peer),
-                age,
+                age: Some(age),
             })
         }
         _ => Err(Failure::WatcherFailing),
