Refuse late requests that a draining instance could not finish

Change: from 2.9 s after the signal on, a request whose deadline lies beyond the drain timeout is refused as not run; shorter ones are still taken.

--- a/limpetkeel/src/instance.rs
+++ b/limpetkeel/src/instance.rs
@@ -8,6 +8,10 @@
 /// A draining instance accepts requests for this long, so that load balancers can react.
 pub const DRAINING_GRACE: unit::Millis = unit::Millis(2_000);
 
+/// How long a draining instance takes requests that it may not be able to finish. Load balancers
+/// need this long to stop sending requests, and refusing all of those would affect many callers.
+const UNFINISHED_GRACE: unit::Millis = unit::Millis(2_900);
+
 /// The instance waits for tables and for the upstream list.
 #[derive(Debug)]
 pub struct Joining(());
@@ -102,6 +106,19 @@
         now.since(self.state.since) < DRAINING_GRACE
     }
 
+    /// Returns `true` if the instance takes a request that arrives now. After
+    /// [`UNFINISHED_GRACE`], requests that may last beyond the drain timeout are refused, since
+    /// they would be cut off.
+    pub fn takes_request(
+        &self,
+        now: unit::Timestamp,
+        deadline: unit::Timestamp,
+        drain_timeout: unit::Millis,
+    ) -> bool {
+        now.since(self.state.since) < UNFINISHED_GRACE
+            || deadline <= self.state.since.after(drain_timeout)
+    }
+
     /// Stops the instance if [`DRAINING_GRACE`] has passed and no request is in progress.
     ///
     /// # Errors
@@ -170,6 +187,23 @@
         }
     }
 
+    /// Returns `true` if the instance can be expected to finish a request that arrives now and
+    /// ends by `deadline`.
+    pub fn takes_request(
+        &self,
+        now: unit::Timestamp,
+        deadline: unit::Timestamp,
+        drain_timeout: unit::Millis,
+    ) -> bool {
+        match self {
+            InstanceState::Joining(_) | InstanceState::Live(_) => true,
+            InstanceState::Draining(instance) => {
+                instance.takes_request(now, deadline, drain_timeout)
+            }
+            InstanceState::Stopped(_) => false,
+        }
+    }
+
     /// Returns `true` if load balancers should send requests to the instance.
     pub fn is_ready(&self) -> bool {
         matches!(self, InstanceState::Live(_))
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -6,7 +6,9 @@
 use http_body_util::BodyExt as _;
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
-use limpetkeel::{Denial, Millis, RelayedRequest, RelayedRequestInfo, RequestLimits, Routed};
+use limpetkeel::{
+    Denial, Millis, RelayedRequest, RelayedRequestInfo, RequestLimits, Routed, Timestamp,
+};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -140,13 +142,18 @@
     let allowed = head
         .remaining
         .map_or(timeout, |remaining| remaining.min(timeout));
+    let deadline = received.after(allowed);
+    if !takes_request(shared, deadline) {
+        record_refusal(shared, "draining", Some(&head.id));
+        return Err(port::Refusal::NotRun(RETRY_AFTER));
+    }
     let info = RelayedRequestInfo {
         route: admission.route.name().clone(),
         pool,
         retry_policy: admission.route.retry_policy(),
         max_sends: admission.route.max_sends(),
     };
-    let relayed = RelayedRequest::new(info, received, received.after(allowed), head.resume_after);
+    let relayed = RelayedRequest::new(info, received, deadline, head.resume_after);
     let request = caller_request::CallerRequest {
         head,
         parts,
@@ -158,6 +165,16 @@
     Ok((request, relayed))
 }
 
+/// Returns `true` unless the instance is draining and would have to cut off a request with this
+/// deadline.
+fn takes_request(shared: &shared::Shared, deadline: Timestamp) -> bool {
+    let now = shared.clock.now();
+    let drain_timeout = shared.settings.drain_timeout;
+    let membership = shared.membership.lock();
+    let state = membership.local_state.get();
+    state.is_none_or(|state| state.takes_request(now, deadline, drain_timeout))
+}
+
 /// Counts and logs a refused request.
 fn record_refusal(shared: &shared::Shared, code: &str, id: Option<&str>) {
     shared
