--- a/limpetkeel/src/instance.rs
+++ b/limpetkeel/src/instance.rs
@@ -106,8 +106,8 @@
         now.since(self.state.since) < DRAINING_GRACE
     }
 
-    /// Returns `true` if the instance takes a request that arrives now. After
-    /// [`UNFINISHED_GRACE`], requests that may last beyond the drain timeout are refused, since
+    /// Returns `true` if the instance takes a request that arrives now. From 2.9 s after the start
+    /// of draining on, requests that may last beyond the drain timeout are refused, since
     /// they would be cut off.
     pub fn takes_request(
         &self,
