--- a/limpetkeel/src/instance.rs
+++ b/limpetkeel/src/instance.rs
@@ -106,9 +106,9 @@
         now.since(self.state.since) < DRAINING_GRACE
     }
 
-    /// Returns `true` if the instance takes a request that arrives now. From 2.9 s after the start
-    /// of draining on, requests that may last beyond the drain timeout are refused, since
-    /// they would be cut off.
+    /// Returns `true` if the instance takes a request that arrives now. Once load balancers have had
+    /// time to react, a request that may last beyond the drain timeout is refused, since it would be
+    /// cut off.
     pub fn takes_request(
         &self,
         now: unit::Timestamp,
--- a/limpetkeel/src/instance_registry.rs
+++ b/limpetkeel/src/instance_registry.rs
@@ -12,7 +12,8 @@
 /// last for seconds.
 const MAX_SUSPICION: unit::Millis = unit::Millis(6_000);
 
-/// The number of planners that are chosen from all availability zones, before one of the local availability zone.
+/// The number of planners that are chosen from all availability zones, before one of the local
+/// availability zone.
 const HASHED_PLANNERS: usize = 2;
 
 /// The number of instances of an availability zone that watch the store. Each change costs a call
@@ -131,8 +132,8 @@
     }
 
     /// Returns the planners of a key in the order in which they are tried: the instances that rank
-    /// first, then one of the local availability zone, which is reachable even if the zone
-    /// is partitioned.
+    /// first, then one of the local availability zone, which is reachable even if the zone is
+    /// partitioned.
     pub fn planners(&self, now: unit::Timestamp, key: &str) -> Vec<member::Contact> {
         let ranked = self.ranked(now, key);
         let zone = &self.local.availability_zone;
--- a/limpetkeel/src/planner/helpers.rs
+++ b/limpetkeel/src/planner/helpers.rs
@@ -150,20 +150,17 @@
         request: &'a plan::PlanRequest,
     ) -> error::Result<Vec<&'a upstream::Upstream>> {
         let zone = &request.availability_zone;
-        let usable: Vec<_> = self
+        let (accepting, full): (Vec<_>, Vec<_>) = self
             .candidates(now, request)
             .filter(|upstream| self.prefill_set.contains(upstream.name()))
             .filter(|upstream| *upstream.name() != lead.upstream)
             .filter(|upstream| self.health.is_reliable(now, zone, upstream))
             .filter(|upstream| self.health.failure_rate(now, upstream.name()) < MAX_FAILURE_RATE)
-            .collect();
-        if !usable.is_empty() && !usable.iter().any(|upstream| upstream.accepts_part()) {
+            .partition(|upstream| upstream.accepts_part());
+        if accepting.is_empty() && !full.is_empty() {
             return Err(error::Error::NoHelper);
         }
-        Ok(usable
-            .into_iter()
-            .filter(|upstream| upstream.accepts_part())
-            .collect())
+        Ok(accepting)
     }
 
     /// Chooses the helpers of a lead: the division with the lowest cost, which weighs the time of
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -2,8 +2,9 @@
 //!
 //! Two instances in each availability zone watch the store and the others follow one of these
 //! watchers, so that the number of store calls per change does not grow with the number of
-//! instances. An instance whose watchers fail follows the store directly. While the store does not
-//! respond either, it requests snapshots from peers.
+//! instances. An instance whose watchers fail follows the store directly;
+//! [`limpetkeel::StoreFollower`] decides when. While the store does not respond either, it requests
+//! snapshots from peers.
 
 use std::{sync, time};
 
