Log requests taken and left unfinished while draining

What callers saw: a request that came 3.1 s after SIGTERM was taken and lost its connection at the end of the grace time. The logs did not tell a request that was taken while draining from an earlier one, nor how much time it was given, and nothing was logged for a request that the end of the drain cut off. Change: `leaving` says the drain timeout and the requests in progress, a request that is taken while draining has a line `taken_while_draining` with the time since the signal and the time it is given, and the requests in progress at the end are counted and logged one by one, at most 64.

--- a/limpetkeel/src/instance.rs
+++ b/limpetkeel/src/instance.rs
@@ -214,6 +214,14 @@
         matches!(self, InstanceState::Draining(_) | InstanceState::Stopped(_))
     }
 
+    /// Returns when a draining instance started to drain.
+    pub fn draining_since(&self) -> Option<unit::Timestamp> {
+        match self {
+            InstanceState::Draining(instance) => Some(instance.state.since),
+            _ => None,
+        }
+    }
+
     /// Returns `true` if the instance accepts new requests.
     pub fn accepts_requests(&self, now: unit::Timestamp) -> bool {
         match self {
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -20,6 +20,8 @@
     pub resumed_streams: prometheus::IntCounter,
     /// Requests whose caller disconnected before the response was complete.
     pub abandoned_requests: prometheus::IntCounter,
+    /// Requests that were still in progress when a drain ended.
+    pub unfinished_requests: prometheus::IntCounter,
     /// Plans, by whether a peer or the local instance made them.
     pub plans: prometheus::IntCounterVec,
     /// Seconds from the plan request to the plan.
@@ -77,6 +79,10 @@
                 "limpetkeel_relay_abandoned_total",
                 "Callers that left before their answer was complete.",
             )?,
+            unfinished_requests: registrar.counter(
+                "limpetkeel_relay_unfinished_total",
+                "Requests in progress when the drain timeout ended.",
+            )?,
             plans: registrar.counter_vec(
                 "limpetkeel_relay_plans_total",
                 "Plans, by the planner that made them.",
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -17,6 +17,7 @@
 pub mod drain;
 pub mod drive;
 pub mod events;
+pub mod exchange;
 pub mod front;
 pub mod jobs;
 pub mod peer_handler;
--- a/limpetkeeld/src/relay/drain.rs
+++ b/limpetkeeld/src/relay/drain.rs
@@ -16,6 +16,9 @@
 /// Time to flush the last responses to the network before the process exits.
 const FLUSH_DELAY: time::Duration = time::Duration::from_millis(200);
 
+/// Maximum number of unfinished requests that are logged one by one.
+const MAX_LOGGED_REQUESTS: usize = 64;
+
 /// Waits for SIGTERM or SIGINT, then returns when no request is in progress or the drain timeout
 /// has passed.
 ///
@@ -37,14 +40,38 @@
         .local_state
         .transition(|state| state.start_draining(now));
     shared.draining.cancel();
-    tracing::info!(event = "leaving", instance = %shared.settings.instance);
+    tracing::info!(
+        event = "leaving",
+        instance = %shared.settings.instance,
+        drain_timeout_ms = shared.settings.drain_timeout.0,
+        in_progress = shared.requests.lock().in_progress.len(),
+    );
     tokio::time::sleep(ACCEPT_GRACE).await;
     shared.closing.cancel();
-    while shared.requests.lock().in_progress > 0 && tokio::time::Instant::now() < deadline {
+    while !shared.requests.lock().in_progress.is_empty() && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
-    let in_progress = shared.requests.lock().in_progress;
+    let in_progress = record_unfinished(shared);
     tokio::time::sleep(FLUSH_DELAY).await;
     tracing::info!(event = "stopped", instance = %shared.settings.instance, in_progress);
     Ok(())
 }
+
+/// Counts and logs the requests that are still in progress, and returns their number.
+fn record_unfinished(shared: &shared::Shared) -> usize {
+    let now = shared.clock.now();
+    let unfinished: Vec<_> = {
+        let requests = shared.requests.lock();
+        requests.in_progress.values().cloned().collect()
+    };
+    let relay = &shared.metrics.relay;
+    relay.unfinished_requests.inc_by(unfinished.len() as u64);
+    for exchange in unfinished.iter().take(MAX_LOGGED_REQUESTS) {
+        tracing::warn!(
+            event = "request_unfinished",
+            request = %exchange.request,
+            elapsed_ms = now.since(exchange.received).0,
+        );
+    }
+    unfinished.len()
+}
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::relay::{
-    attempt, caller_request, planning, request_summary, reservations, response_writer,
+    attempt, caller_request, exchange, planning, request_summary, reservations, response_writer,
     retry_budget, shared, stream, upstream,
 };
 
@@ -67,7 +67,6 @@
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.shared.requests.lock().in_progress -= 1;
         // A caller that disconnects aborts this task before a result is set.
         let result = self
             .result
@@ -86,7 +85,11 @@
     relayed: RelayedRequest<Routed>,
     writer: response_writer::ResponseWriter,
 ) {
-    shared.requests.lock().in_progress += 1;
+    let exchange = exchange::Exchange {
+        request: request.head.id.clone(),
+        received: relayed.received(),
+    };
+    let _guard = exchange::ExchangeGuard::begin(&shared, exchange);
     let mut active = ActiveRequest {
         shared,
         request,
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -143,7 +143,7 @@
         .remaining
         .map_or(timeout, |remaining| remaining.min(timeout));
     let deadline = received.after(allowed);
-    if !takes_request(shared, deadline) {
+    if !takes_request(shared, &head.id, deadline) {
         record_refusal(shared, "draining", Some(&head.id));
         return Err(port::Refusal::NotRun(RETRY_AFTER));
     }
@@ -166,13 +166,27 @@
 }
 
 /// Returns `true` unless the instance is draining and would have to cut off a request with this
-/// deadline.
-fn takes_request(shared: &shared::Shared, deadline: Timestamp) -> bool {
+/// deadline. Logs a request that is taken while draining.
+fn takes_request(shared: &shared::Shared, id: &str, deadline: Timestamp) -> bool {
     let now = shared.clock.now();
     let drain_timeout = shared.settings.drain_timeout;
-    let membership = shared.membership.lock();
-    let state = membership.local_state.get();
-    state.is_none_or(|state| state.takes_request(now, deadline, drain_timeout))
+    let (taken, draining_since) = {
+        let membership = shared.membership.lock();
+        let Some(state) = membership.local_state.get() else {
+            return true;
+        };
+        let taken = state.takes_request(now, deadline, drain_timeout);
+        (taken, state.draining_since())
+    };
+    if taken && let Some(since) = draining_since {
+        tracing::info!(
+            event = "taken_while_draining",
+            request = id,
+            draining_ms = now.since(since).0,
+            given_ms = deadline.since(now).0,
+        );
+    }
+    taken
 }
 
 /// Counts and logs a refused request.
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock, local_state, metrics, peer,
-    relay::{jobs, port, settings},
+    relay::{exchange, jobs, port, settings},
 };
 
 /// The routing table and upstream registry, and the state of the store connection that they come
@@ -74,8 +74,10 @@
 /// The relayed requests in progress on this instance.
 #[derive(Debug, Default)]
 pub struct Requests {
-    /// The number of requests in progress.
-    pub in_progress: usize,
+    /// The requests in progress, by a number that identifies each of them.
+    pub in_progress: collections::BTreeMap<u64, exchange::Exchange>,
+    /// The number of the next request.
+    pub next_exchange: u64,
     /// The active plans.
     pub plans: collections::BTreeMap<RequestId, ActivePlan>,
     /// The planner of the latest request of each pool.
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -17,6 +17,9 @@
 /// The time limit for a condition to be met.
 const CONDITION_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// The default drain timeout of the daemons.
+const DRAIN_TIMEOUT: time::Duration = time::Duration::from_secs(7);
+
 /// The interval at which conditions are checked.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -55,6 +58,7 @@
     pub upstreams: Vec<Upstream>,
     /// The daemon processes.
     pub daemons: Vec<Daemon>,
+    drain_timeout: time::Duration,
     directory: path::PathBuf,
     http_client: reqwest::Client,
 }
@@ -120,9 +124,22 @@
     pub async fn start(
         daemon_count: usize,
         upstream_count: usize,
+    ) -> deployment::Result<Deployment> {
+        Deployment::start_with_drain_timeout(daemon_count, upstream_count, DRAIN_TIMEOUT).await
+    }
+
+    /// Starts a deployment like [`Deployment::start`] whose daemons have the given drain timeout.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part of the deployment cannot be started or is not ready in time.
+    pub async fn start_with_drain_timeout(
+        daemon_count: usize,
+        upstream_count: usize,
+        drain_timeout: time::Duration,
     ) -> deployment::Result<Deployment> {
         let mut deployment =
-            Deployment::start_with_empty_store(daemon_count, upstream_count).await?;
+            Deployment::start_daemons(daemon_count, upstream_count, drain_timeout).await?;
         deployment.publish_table(&Table::default())?;
         for upstream in &deployment.upstreams {
             deployment.register_upstream(upstream, "ready")?;
@@ -142,6 +159,14 @@
     pub async fn start_with_empty_store(
         daemon_count: usize,
         upstream_count: usize,
+    ) -> deployment::Result<Deployment> {
+        Deployment::start_daemons(daemon_count, upstream_count, DRAIN_TIMEOUT).await
+    }
+
+    async fn start_daemons(
+        daemon_count: usize,
+        upstream_count: usize,
+        drain_timeout: time::Duration,
     ) -> deployment::Result<Deployment> {
         let directory =
             std::env::temp_dir().join(format!("limpetkeel-{:016x}", rand::random::<u64>()));
@@ -150,6 +175,7 @@
             store: Store::start(daemon_count.max(1)).await?,
             upstreams: Vec::new(),
             daemons: Vec::new(),
+            drain_timeout,
             directory,
             http_client: reqwest::Client::new(),
         };
@@ -171,10 +197,11 @@
         let settings = format!(
             "instance = \"node{index}\"\navailability_zone = \"z\"\nhttp_listen = \"{http_address}\"\n\
              ready_listen = \"{ready_address}\"\nstatus_listen = \"{status_address}\"\npeer_listen = \"{peer_address}\"\n\
-             peer_key = \"a key that all peers share\"\nstore = \"{}\"\nleave_timeout_s = 7\n\
+             peer_key = \"a key that all peers share\"\nstore = \"{}\"\nleave_timeout_s = {}\n\
              memory_limit_mb = 1\n\
              retry_ratio = 0.2\nretry_allowance = 50\nretry_window_s = 10\n",
             self.store.addresses[index],
+            self.drain_timeout.as_secs_f64(),
         );
         std::fs::write(&settings_path, settings)?;
         let file = settings_path.to_string_lossy().into_owned();
--- /dev/null
+++ b/standins/tests/drain.rs
@@ -0,0 +1,92 @@
+//! Tests of daemons that drain while they relay requests.
+
+use std::time;
+
+use platform::names;
+use standins::deployment::{
+    daemon::{self, Deployment},
+    table::Table,
+    upstream::Behavior,
+};
+
+/// The drain timeout of the daemons, after which they are killed.
+const DRAIN_TIMEOUT: time::Duration = time::Duration::from_secs(4);
+
+/// The timeout of all routes, which is longer than the drain timeout.
+const ROUTE_TIMEOUT_MS: u64 = 30_000;
+
+/// Starts a deployment with one daemon whose requests may last longer than its drain timeout.
+async fn start(upstream_count: usize) -> Deployment {
+    let deployment = Deployment::start_with_drain_timeout(1, upstream_count, DRAIN_TIMEOUT)
+        .await
+        .expect("deployment");
+    let table = Table {
+        version: 5,
+        timeout_ms: ROUTE_TIMEOUT_MS,
+        extra_routes: vec!["new".to_owned()],
+        ..Table::default()
+    };
+    deployment.publish_table(&table).expect("table");
+    daemon::wait_until("the table is in force", async || {
+        deployment.get_status(0, "/new/x").await == 200
+    })
+    .await
+    .expect("in force");
+    deployment
+}
+
+/// Builds a request whose caller waits longer than the drain timeout.
+fn long_request(deployment: &Deployment, path: &str, id: &str) -> reqwest::RequestBuilder {
+    let remaining = http::HeaderValue::from(ROUTE_TIMEOUT_MS);
+    let headers = http::HeaderMap::from_iter([(names::REMAINING_MS, remaining)]);
+    deployment.request(0, "POST", path, id).headers(headers)
+}
+
+async fn wait_received(deployment: &Deployment, id: &str) {
+    daemon::wait_until("an upstream receives the request", async || {
+        deployment.run_count(id) > 0
+    })
+    .await
+    .expect("received");
+}
+
+/// Sends SIGTERM to the daemon and returns when it was sent.
+fn terminate(deployment: &Deployment) -> time::Instant {
+    let process = &deployment.daemons[0].process;
+    process.send_signal("TERM").expect("signal");
+    time::Instant::now()
+}
+
+async fn wait_exited(deployment: &mut Deployment) {
+    daemon::wait_until("the daemon exits", async || {
+        deployment.daemons[0].process.has_exited()
+    })
+    .await
+    .expect("exited");
+}
+
+#[tokio::test]
+async fn requests_taken_and_left_unfinished_while_draining_are_logged() {
+    let mut deployment = start(1).await;
+    deployment.set_behavior(Behavior::Hang);
+    let early = tokio::spawn(long_request(&deployment, "/book/x", "early").send());
+    wait_received(&deployment, "early").await;
+    terminate(&deployment);
+    daemon::wait_until("readiness fails", async || !deployment.is_ready(0).await)
+        .await
+        .expect("unready");
+    let late = tokio::spawn(long_request(&deployment, "/book/x", "late").send());
+    wait_exited(&mut deployment).await;
+    let _ = tokio::join!(early, late);
+    let log = deployment.log();
+    let line = |event: &str| {
+        let prefix = format!("event={event} ");
+        let mut lines = log.lines().filter(|line| line.contains(&prefix));
+        lines.next().unwrap_or_else(|| panic!("{event}: {log}"))
+    };
+    assert!(line("leaving").contains("drain_timeout_ms=4000"), "{log}");
+    let taken = line("taken_while_draining");
+    assert!(taken.contains("request=late"), "{log}");
+    assert!(taken.contains("draining_ms="), "{log}");
+    assert!(taken.contains("given_ms="), "{log}");
+}
