Add a failing test of requests that outlast the drain

What callers see: the connection closes without a response when the drain timeout ends. Seen on the current code, twice of twice: a final response: hyper::Error(IncompleteMessage) for an at-most-once and for an idempotent request.

--- a/standins/tests/drain.rs
+++ b/standins/tests/drain.rs
@@ -8,6 +8,7 @@
     table::Table,
     upstream::Behavior,
 };
+use test_case::test_case;
 
 /// The drain timeout of the daemons, after which they are killed.
 const DRAIN_TIMEOUT: time::Duration = time::Duration::from_secs(4);
@@ -90,3 +91,19 @@
     assert!(taken.contains("draining_ms="), "{log}");
     assert!(taken.contains("given_ms="), "{log}");
 }
+
+#[test_case("/book/x"; "at most once")]
+#[test_case("/look/x"; "idempotent")]
+#[tokio::test]
+async fn a_request_that_outlasts_the_drain_gets_a_final_response(path: &str) {
+    let mut deployment = start(2).await;
+    deployment.set_behavior(Behavior::Hang);
+    let waiting = tokio::spawn(long_request(&deployment, path, "id1").send());
+    wait_received(&deployment, "id1").await;
+    let signalled = terminate(&deployment);
+    let res = waiting.await.expect("task").expect("a final response");
+    assert_eq!(res.status(), 504);
+    wait_exited(&mut deployment).await;
+    let elapsed = signalled.elapsed();
+    assert!(elapsed < DRAIN_TIMEOUT, "{elapsed:?}");
+}
