End requests in progress before the drain timeout does

What callers saw: the connection closed in the middle of a response, or without one, when the grace time ended. Cause: nothing ended a request that was in progress at the end of the drain. The drain timeout is the grace time of the platform, after which SIGKILL comes, and the process counted it from the moment at which it handled the signal and waited 0.2 s more. Change: DrainSchedule derives the end of requests (0.5 s before the drain timeout: 0.3 s to write responses and 0.2 s for a signal that is handled late) and of the process (0.2 s before it). The end of requests bounds the deadline of every request, also of those that began before the signal: one that did not run is refused with a retry delay, one that may have run gets status 504, and a stream is broken off so that its caller resumes it.

--- a/limpetkeel/src/instance.rs
+++ b/limpetkeel/src/instance.rs
@@ -3,7 +3,7 @@
 //! `Joining` becomes `Live` once tables are in force and the upstreams are known. `Joining` and
 //! `Live` become `Draining`, and `Draining` becomes `Stopped` when no request is in progress.
 
-use crate::{name, revision, unit};
+use crate::{drain_schedule, name, revision, unit};
 
 /// A draining instance accepts requests for this long, so that load balancers can react.
 pub const DRAINING_GRACE: unit::Millis = unit::Millis(2_000);
@@ -101,6 +101,11 @@
 }
 
 impl Instance<Draining> {
+    /// Returns the schedule of the drain.
+    pub fn schedule(&self, drain_timeout: unit::Millis) -> drain_schedule::DrainSchedule {
+        drain_schedule::DrainSchedule::new(self.state.since, drain_timeout)
+    }
+
     /// Returns `true` if the instance still accepts new requests.
     pub fn accepts_requests(&self, now: unit::Timestamp) -> bool {
         now.since(self.state.since) < DRAINING_GRACE
@@ -116,7 +121,7 @@
         drain_timeout: unit::Millis,
     ) -> bool {
         now.since(self.state.since) < UNFINISHED_GRACE
-            || deadline <= self.state.since.after(drain_timeout)
+            || deadline <= self.schedule(drain_timeout).requests_end()
     }
 
     /// Stops the instance if [`DRAINING_GRACE`] has passed and no request is in progress.
@@ -214,14 +219,28 @@
         matches!(self, InstanceState::Draining(_) | InstanceState::Stopped(_))
     }
 
-    /// Returns when a draining instance started to drain.
-    pub fn draining_since(&self) -> Option<unit::Timestamp> {
+    /// Returns the schedule of a draining instance.
+    pub fn drain_schedule(
+        &self,
+        drain_timeout: unit::Millis,
+    ) -> Option<drain_schedule::DrainSchedule> {
         match self {
-            InstanceState::Draining(instance) => Some(instance.state.since),
+            InstanceState::Draining(instance) => Some(instance.schedule(drain_timeout)),
             _ => None,
         }
     }
 
+    /// Returns the time by which a request with this deadline ends: its deadline, or the end of the
+    /// drain if that is earlier.
+    pub fn effective_deadline(
+        &self,
+        deadline: unit::Timestamp,
+        drain_timeout: unit::Millis,
+    ) -> unit::Timestamp {
+        let schedule = self.drain_schedule(drain_timeout);
+        schedule.map_or(deadline, |schedule| deadline.min(schedule.requests_end()))
+    }
+
     /// Returns `true` if the instance accepts new requests.
     pub fn accepts_requests(&self, now: unit::Timestamp) -> bool {
         match self {
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -32,6 +32,7 @@
 mod availability_zone;
 mod backlog_index;
 mod budget;
+mod drain_schedule;
 mod engine;
 mod error;
 mod floors;
@@ -69,6 +70,7 @@
 
 pub use availability_zone::{Reachability, ZoneReachability};
 pub use budget::{BodyBudget, RetryBudget};
+pub use drain_schedule::DrainSchedule;
 pub use engine::{EngineParameters, EngineTiming};
 pub use error::{Category, Error, Outcome, Result, Rule};
 pub use floors::Floors;
--- a/limpetkeeld/src/relay/drain.rs
+++ b/limpetkeeld/src/relay/drain.rs
@@ -2,9 +2,10 @@
 
 use std::{io, sync, time};
 
+use limpetkeel::{DrainSchedule, Timestamp};
 use tokio::signal::unix;
 
-use crate::relay::shared;
+use crate::relay::{request_summary, shared};
 
 /// Time to keep accepting connections after readiness starts to fail. Load balancers need up to two
 /// checks, one second apart, plus the duration of a check to notice.
@@ -32,8 +33,9 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let deadline = tokio::time::Instant::now() + shared.settings.drain_timeout.duration();
     let now = shared.clock.now();
+    let schedule = DrainSchedule::new(now, shared.settings.drain_timeout);
+    let deadline = shared.clock.instant(schedule.stop());
     shared
         .membership
         .lock()
@@ -57,6 +59,36 @@
     Ok(())
 }
 
+/// Returns the time by which a request with this deadline ends.
+fn effective_deadline(shared: &shared::Shared, deadline: Timestamp) -> Timestamp {
+    let membership = shared.membership.lock();
+    let state = membership.local_state.get();
+    state.map_or(deadline, |state| {
+        state.effective_deadline(deadline, shared.settings.drain_timeout)
+    })
+}
+
+/// Waits until a request with this deadline has to end, and returns the reason: the deadline, or
+/// the end of the drain if the instance drains meanwhile.
+pub async fn deadline_passed(
+    shared: &shared::Shared,
+    deadline: Timestamp,
+) -> request_summary::FailureReason {
+    tokio::select! {
+        () = tokio::time::sleep_until(shared.clock.instant(deadline)) => {
+            return request_summary::FailureReason::DeadlineExceeded;
+        }
+        () = shared.draining.cancelled() => {}
+    }
+    let end = effective_deadline(shared, deadline);
+    tokio::time::sleep_until(shared.clock.instant(end)).await;
+    if end < deadline {
+        request_summary::FailureReason::DrainEnded
+    } else {
+        request_summary::FailureReason::DeadlineExceeded
+    }
+}
+
 /// Counts and logs the requests that are still in progress, and returns their number.
 fn record_unfinished(shared: &shared::Shared) -> usize {
     let now = shared.clock.now();
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::relay::{
-    attempt, caller_request, exchange, planning, request_summary, reservations, response_writer,
-    retry_budget, shared, stream, upstream,
+    attempt, caller_request, drain, exchange, planning, request_summary, reservations,
+    response_writer, retry_budget, shared, stream, upstream,
 };
 
 /// Number of failures to connect or to reserve memory after which a request is given up.
@@ -39,7 +39,7 @@
 
 impl ActiveRequest {
     async fn run(&mut self, relayed: RelayedRequest<Routed>) {
-        let deadline = self.shared.clock.instant(relayed.deadline());
+        let deadline = relayed.deadline();
         let serving = serve(
             &self.shared,
             &self.request,
@@ -47,18 +47,19 @@
             &mut self.writer,
             &mut self.summary,
         );
-        let result = tokio::time::timeout_at(deadline, serving).await;
+        let result = tokio::select! {
+            biased;
+            result = serving => result,
+            reason = drain::deadline_passed(&self.shared, deadline) => Err(reason),
+        };
         let response = match result {
-            Ok(Ok(Completion::Streamed)) => {
+            Ok(Completion::Streamed) => {
                 self.result = Some(request_summary::RequestResult::Streamed);
                 return;
             }
-            Ok(Ok(Completion::Abandoned)) => return,
-            Ok(Ok(Completion::Complete(response))) => response_writer::Response::Complete(response),
-            Ok(Err(reason)) => self.summary.final_response(reason),
-            Err(_) => self
-                .summary
-                .final_response(request_summary::FailureReason::DeadlineExceeded),
+            Ok(Completion::Abandoned) => return,
+            Ok(Completion::Complete(response)) => response_writer::Response::Complete(response),
+            Err(reason) => self.summary.final_response(reason),
         };
         self.result = Some(request_summary::RequestResult::from_response(&response));
         self.writer.finish(response).await;
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -170,20 +170,20 @@
 fn takes_request(shared: &shared::Shared, id: &str, deadline: Timestamp) -> bool {
     let now = shared.clock.now();
     let drain_timeout = shared.settings.drain_timeout;
-    let (taken, draining_since) = {
+    let (taken, schedule) = {
         let membership = shared.membership.lock();
         let Some(state) = membership.local_state.get() else {
             return true;
         };
         let taken = state.takes_request(now, deadline, drain_timeout);
-        (taken, state.draining_since())
+        (taken, state.drain_schedule(drain_timeout))
     };
-    if taken && let Some(since) = draining_since {
+    if taken && let Some(schedule) = schedule {
         tracing::info!(
             event = "taken_while_draining",
             request = id,
-            draining_ms = now.since(since).0,
-            given_ms = deadline.since(now).0,
+            draining_ms = now.since(schedule.since()).0,
+            given_ms = deadline.min(schedule.requests_end()).since(now).0,
         );
     }
     taken
--- a/limpetkeeld/src/relay/request_summary.rs
+++ b/limpetkeeld/src/relay/request_summary.rs
@@ -23,6 +23,8 @@
     NoBudget,
     /// The deadline passed.
     DeadlineExceeded,
+    /// The instance had to stop before the deadline.
+    DrainEnded,
 }
 
 impl FailureReason {
@@ -36,6 +38,7 @@
             FailureReason::NoRetry(NoRetryReason::DeadlineTooClose) => "out_of_time",
             FailureReason::NoBudget => "no_budget",
             FailureReason::DeadlineExceeded => "time_up",
+            FailureReason::DrainEnded => "drain_ended",
         }
     }
 }
@@ -149,6 +152,7 @@
             (
                 true,
                 FailureReason::DeadlineExceeded
+                | FailureReason::DrainEnded
                 | FailureReason::NoRetry(NoRetryReason::DeadlineTooClose),
             ) => port::Refusal::TimedOut,
             (true, _) => port::Refusal::Failed,
--- a/standins/tests/drain.rs
+++ b/standins/tests/drain.rs
@@ -90,6 +90,13 @@
     assert!(taken.contains("request=late"), "{log}");
     assert!(taken.contains("draining_ms="), "{log}");
     assert!(taken.contains("given_ms="), "{log}");
+    let ended = log
+        .lines()
+        .find(|line| line.contains("event=request_ended ") && line.contains("request=early "));
+    assert!(
+        ended.is_some_and(|line| line.contains("reason=drain_ended ")),
+        "{log}"
+    );
 }
 
 #[test_case("/book/x"; "at most once")]
@@ -107,3 +114,19 @@
     let elapsed = signalled.elapsed();
     assert!(elapsed < DRAIN_TIMEOUT, "{elapsed:?}");
 }
+
+#[tokio::test]
+async fn a_stream_that_outlasts_the_drain_is_broken_off_before_the_process_is_killed() {
+    let deployment = start(1).await;
+    deployment.set_behavior(Behavior::HangAfter(2));
+    let waiting = tokio::spawn(long_request(&deployment, "/stream/x", "id1").send());
+    let res = waiting.await.expect("task").expect("a response head");
+    assert_eq!(res.status(), 200);
+    let signalled = terminate(&deployment);
+    assert!(
+        res.text().await.is_err(),
+        "the stream must not look complete"
+    );
+    let elapsed = signalled.elapsed();
+    assert!(elapsed < DRAIN_TIMEOUT, "{elapsed:?}");
+}
