Give attempts no more time than the drain leaves

What callers saw: a stalled stream of a draining instance was sent to a second upstream 0.85 s before the end of the grace time, which could not finish it. Cause: plans, retries and the time limit sent to upstreams used the deadline of the request, not the end of the drain. Evidence: standins/tests/drain.rs, an_upstream_gets_no_more_time_than_the_drain_leaves, on the code before: the upstream of a daemon with 4 s to drain was given 29999 milliseconds. Change: the deadline of a request is shortened to the end of the drain before each plan, attempt and retry, also if the drain began in between. The planner refuses an upstream that would take longer, a retry without time is not begun, and a stalled stream is continued instead. Measured: the test passes, as does a_drain_that_ends_soon_leaves_no_time_for_a_retry; limpetkeel tests/relayed_request.rs and standins/tests/{drain,relay}.rs.

--- a/limpetkeel/src/relayed_request.rs
+++ b/limpetkeel/src/relayed_request.rs
@@ -83,6 +83,11 @@
         self.deadline
     }
 
+    /// Shortens the deadline to `end` if that is earlier.
+    pub fn limit_deadline(&mut self, end: unit::Timestamp) {
+        self.deadline = self.deadline.min(end);
+    }
+
     /// Returns how many times the request was sent.
     pub fn send_count(&self) -> u32 {
         self.send_count
--- a/limpetkeel/tests/relayed_request.rs
+++ b/limpetkeel/tests/relayed_request.rs
@@ -120,3 +120,16 @@
     assert_eq!(continued.send_count(), 1);
     assert_eq!(continued.into_failed().outcome(), Outcome::Failed);
 }
+
+#[test]
+fn a_drain_that_ends_soon_leaves_no_time_for_a_retry() {
+    let mut relayed = sent(RetryPolicy::Restart, 5).into_failed();
+    assert_eq!(relayed.check_send(Timestamp(480)), Ok(()));
+    relayed.limit_deadline(Timestamp(500));
+    assert_eq!(
+        relayed.check_send(Timestamp(480)),
+        Err(NoRetryReason::DeadlineTooClose)
+    );
+    relayed.limit_deadline(Timestamp(2_000));
+    assert_eq!(relayed.deadline(), Timestamp(500));
+}
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -6,7 +6,7 @@
 use limpetkeel::{Millis, RelayedRequest, ResponseForm, RetryPolicy, Sent, UpstreamName};
 
 use crate::relay::{
-    caller_request, planning, port, response_writer, retry_budget, shared, stream, upstream,
+    caller_request, drain, planning, port, response_writer, retry_budget, shared, stream, upstream,
 };
 
 /// Maximum size of a complete response body, in bytes. Complete responses are buffered.
@@ -150,6 +150,7 @@
     context: AttemptContext<'_>,
     writer: &mut response_writer::ResponseWriter,
 ) -> Result<Option<response_writer::CompleteResponse>, Failure> {
+    drain::limit_deadline(shared, relayed);
     let remaining = relayed.deadline().since(shared.clock.now());
     let last = !retry_budget::may_retry(shared, relayed);
     let timeout = response_timeout(request, remaining, relayed.plan().estimate, last);
--- a/limpetkeeld/src/relay/drain.rs
+++ b/limpetkeeld/src/relay/drain.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync, time};
 
-use limpetkeel::{DrainSchedule, Timestamp};
+use limpetkeel::{DrainSchedule, RelayedRequest, Timestamp};
 use tokio::signal::unix;
 
 use crate::relay::{request_summary, shared};
@@ -59,6 +59,11 @@
     Ok(())
 }
 
+/// Shortens the deadline of a request to the end of the drain.
+pub fn limit_deadline<S>(shared: &shared::Shared, relayed: &mut RelayedRequest<S>) {
+    relayed.limit_deadline(effective_deadline(shared, relayed.deadline()));
+}
+
 /// Returns the time by which a request with this deadline ends.
 fn effective_deadline(shared: &shared::Shared, deadline: Timestamp) -> Timestamp {
     let membership = shared.membership.lock();
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -157,7 +157,7 @@
 ) -> RetryLoopOutcome {
     let mut failed_preparations = 0;
     loop {
-        let (plan, mut plan_guard) = match plan_attempt(shared, request, &relayed).await {
+        let (plan, mut plan_guard) = match plan_attempt(shared, request, &mut relayed).await {
             Ok(planned) => planned,
             Err(reason) => return RetryLoopOutcome::GaveUp(relayed, reason),
         };
@@ -207,8 +207,9 @@
 async fn plan_attempt(
     shared: &sync::Arc<shared::Shared>,
     request: &caller_request::CallerRequest,
-    relayed: &RelayedRequest<Routed>,
+    relayed: &mut RelayedRequest<Routed>,
 ) -> Result<(Plan, planning::PlanGuard), request_summary::FailureReason> {
+    drain::limit_deadline(shared, relayed);
     if relayed.send_count() > 0 {
         relayed
             .check_send(shared.clock.now())
@@ -346,13 +347,14 @@
 async fn obtain_plan(
     shared: &sync::Arc<shared::Shared>,
     request: &caller_request::CallerRequest,
-    relayed: &RelayedRequest<Routed>,
+    relayed: &mut RelayedRequest<Routed>,
 ) -> Result<(Plan, planning::PlanGuard), request_summary::FailureReason> {
     let objective = request.admission.route.objective();
     let wait = Millis((objective.first_event.0 as f64 * CAPACITY_WAIT_RATIO) as u64)
         .min(MAX_CAPACITY_WAIT);
     let wait_until = shared.clock.now().after(wait);
     loop {
+        drain::limit_deadline(shared, relayed);
         let now = shared.clock.now();
         let plan_request = PlanRequest {
             id: RequestId(rand::random()),
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -5,7 +5,8 @@
 use limpetkeel::{Millis, Plan, RelayedRequest, Sent};
 
 use crate::relay::{
-    caller_request, events, planning, reservations, response_writer, retry_budget, shared, upstream,
+    caller_request, drain, events, planning, reservations, response_writer, retry_budget, shared,
+    upstream,
 };
 
 /// Timeout for the next event, as a multiple of the route's maximum gap. Somewhat more than half of
@@ -113,6 +114,7 @@
             }
             let received = tokio::time::timeout_at(deadline, self.response.next()).await;
             let Ok(received) = received else {
+                drain::limit_deadline(shared, relayed);
                 if retry_budget::may_retry(shared, relayed) {
                     return Err(Failure::Stalled);
                 }
--- a/standins/tests/drain.rs
+++ b/standins/tests/drain.rs
@@ -130,3 +130,20 @@
     let elapsed = signalled.elapsed();
     assert!(elapsed < DRAIN_TIMEOUT, "{elapsed:?}");
 }
+
+#[tokio::test]
+async fn an_upstream_gets_no_more_time_than_the_drain_leaves() {
+    let deployment = start(1).await;
+    let signalled = terminate(&deployment);
+    daemon::wait_until("readiness fails", async || !deployment.is_ready(0).await)
+        .await
+        .expect("unready");
+    let req = long_request(&deployment, "/book/x", "id1");
+    assert_eq!(deployment.send(req).await.expect("response").status, 200);
+    let received = deployment.upstreams[0].received();
+    let request = received.iter().find(|request| request.id == "id1");
+    let header = request.and_then(|request| request.headers.get(names::REMAINING_MS.as_str()));
+    let remaining: u128 = header.and_then(|text| text.parse().ok()).expect("a header");
+    assert!(remaining < DRAIN_TIMEOUT.as_millis(), "{remaining}");
+    assert!(signalled.elapsed() < DRAIN_TIMEOUT);
+}
