Install the signal handlers before listening begins

Cause: the handlers of SIGTERM, SIGINT and SIGHUP were installed in tasks that start after the listeners, and a signal in between ended the process without draining. Change: they are installed first, and a signal that comes during the start is handled when the start is complete. Measured: standins/tests/drain.rs, a_daemon_that_is_terminated_while_it_starts_drains and further_signals_do_not_interrupt_a_drain (SIGHUP, SIGTERM and SIGINT while draining). Both also pass on the code before: the window is too short to be hit by a signal of a test.

--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
+use tokio::signal::unix;
 use tracing_appender::non_blocking;
 
 use crate::{
@@ -58,6 +59,8 @@
     settings: settings::Settings,
     dependencies: Dependencies,
 ) -> Result<(), Error> {
+    let signals = drain::Signals::install().map_err(Error::Signals)?;
+    let hangup = unix::signal(unix::SignalKind::hangup()).map_err(Error::Signals)?;
     let metrics = sync::Arc::new(metrics::Metrics::new().map_err(Error::Metrics)?);
     let (queue, rx) = jobs::Queue::new();
     let shared = shared::Shared::new(
@@ -95,11 +98,10 @@
         http = %shared.settings.http_listen,
         peers = %shared.settings.peer_listen,
     );
-    let reload_task = tokio::spawn(reload::run(shared.clone(), file));
+    tokio::spawn(reload::run(shared.clone(), file, hangup));
     let front_task = tokio::spawn(front::listen(shared.clone()));
     let result = tokio::select! {
-        result = drain::run(&shared) => result.map_err(Error::Signals),
-        Ok(Err(e)) = reload_task => Err(Error::Signals(e)),
+        () = drain::run(&shared, signals) => Ok(()),
         Ok(Err(e)) = front_task => Err(Error::Listen(shared.settings.http_listen, e)),
     };
     registration.abort();
--- a/limpetkeeld/src/relay/drain.rs
+++ b/limpetkeeld/src/relay/drain.rs
@@ -20,19 +20,38 @@
 /// Maximum number of unfinished requests that are logged one by one.
 const MAX_LOGGED_REQUESTS: usize = 64;
 
-/// Waits for SIGTERM or SIGINT, then returns when no request is in progress or the drain timeout
-/// has passed.
-///
-/// # Errors
-///
-/// Returns an error if a signal handler cannot be installed.
-pub async fn run(shared: &sync::Arc<shared::Shared>) -> io::Result<()> {
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The handlers of the signals that start a drain. Without them a signal ends the process.
+pub struct Signals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl Signals {
+    /// Installs the signal handlers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a signal handler cannot be installed.
+    pub fn install() -> io::Result<Signals> {
+        Ok(Signals {
+            terminate: unix::signal(unix::SignalKind::terminate())?,
+            interrupt: unix::signal(unix::SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for a signal, including one that came after the handlers were installed.
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
+}
+
+/// Waits for SIGTERM or SIGINT, then returns when no request is in progress or the drain timeout
+/// has passed. Further signals have no effect.
+pub async fn run(shared: &sync::Arc<shared::Shared>, mut signals: Signals) {
+    signals.recv().await;
     let now = shared.clock.now();
     let schedule = DrainSchedule::new(now, shared.settings.drain_timeout);
     let deadline = shared.clock.instant(schedule.stop());
@@ -56,7 +75,6 @@
     let in_progress = record_unfinished(shared);
     tokio::time::sleep(FLUSH_DELAY).await;
     tracing::info!(event = "stopped", instance = %shared.settings.instance, in_progress);
-    Ok(())
 }
 
 /// Shortens the deadline of a request to the end of the drain.
--- a/limpetkeeld/src/relay/reload.rs
+++ b/limpetkeeld/src/relay/reload.rs
@@ -1,6 +1,6 @@
 //! Reloads the settings file while the instance runs.
 
-use std::{io, path, sync, time};
+use std::{path, sync, time};
 
 use tokio::signal::unix;
 
@@ -12,12 +12,7 @@
 /// Reloads the settings on SIGHUP and when the file has changed, until the process ends.
 ///
 /// The retry limit takes effect at once. All other settings need a restart.
-///
-/// # Errors
-///
-/// Returns an error if the signal handler cannot be installed.
-pub async fn run(shared: sync::Arc<shared::Shared>, file: path::PathBuf) -> io::Result<()> {
-    let mut sighup = unix::signal(unix::SignalKind::hangup())?;
+pub async fn run(shared: sync::Arc<shared::Shared>, file: path::PathBuf, mut sighup: unix::Signal) {
     let mut current = shared.settings.clone();
     loop {
         let signal = tokio::select! {
--- a/standins/tests/drain.rs
+++ b/standins/tests/drain.rs
@@ -6,7 +6,7 @@
 use standins::deployment::{
     daemon::{self, Deployment},
     table::Table,
-    upstream::Behavior,
+    upstream::{self, Behavior},
 };
 use test_case::test_case;
 
@@ -147,3 +147,39 @@
     assert!(remaining < DRAIN_TIMEOUT.as_millis(), "{remaining}");
     assert!(signalled.elapsed() < DRAIN_TIMEOUT);
 }
+
+#[tokio::test]
+async fn a_daemon_that_is_terminated_while_it_starts_drains() {
+    let mut deployment = Deployment::start_with_empty_store(1, 0)
+        .await
+        .expect("deployment");
+    daemon::wait_until("the daemon listens", async || {
+        let address = deployment.daemons[0].ready_address;
+        tokio::net::TcpStream::connect(address).await.is_ok()
+    })
+    .await
+    .expect("listening");
+    terminate(&deployment);
+    wait_exited(&mut deployment).await;
+    assert!(
+        deployment.log().contains("event=stopped "),
+        "{}",
+        deployment.log()
+    );
+}
+
+#[tokio::test]
+async fn further_signals_do_not_interrupt_a_drain() {
+    let mut deployment = start(1).await;
+    deployment.set_behavior(Behavior::GapAfterTwo(1_000));
+    let streaming = long_request(&deployment, "/stream/x", "id1").send().await;
+    let res = streaming.expect("a response head");
+    terminate(&deployment);
+    for signal in ["HUP", "TERM", "INT"] {
+        let process = &deployment.daemons[0].process;
+        process.send_signal(signal).expect("signal");
+    }
+    let streamed = res.text().await.expect("complete");
+    assert_eq!(streamed, upstream::complete_stream());
+    wait_exited(&mut deployment).await;
+}
