--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -50,6 +50,7 @@
 mod planner;
 mod pool;
 mod prefix;
+mod prompt_part;
 mod rank;
 mod relayed_request;
 mod request;
@@ -99,6 +100,7 @@
 pub use planner::Planner;
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
+pub use prompt_part::{PartId, Quarantine, QuarantineUpdate};
 pub use rank::{PerRank, Rank};
 pub use relayed_request::{
     NoRetryReason, Placed as PlacedRelayedRequest, RelayedRequest, RelayedRequestInfo, Routed, Sent,
