Add the list of quarantined parts of prompts

Change: QuarantineList holds the entries of the store by revision, applies an update of the local planner at once and queues it, one for each part, for the store. A local update takes precedence until the changes up to the revision of its write have been applied. Entries and local updates are bounded.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -51,6 +51,7 @@
 mod pool;
 mod prefix;
 mod prompt_part;
+mod quarantine_list;
 mod rank;
 mod relayed_request;
 mod request;
@@ -101,6 +102,10 @@
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
 pub use prompt_part::{PartId, Quarantine, QuarantineUpdate};
+pub use quarantine_list::{
+    Entry as QuarantineListEntry, MAX_LOCAL_UPDATES, MAX_QUARANTINES, QUARANTINE_LIFETIME,
+    QuarantineList,
+};
 pub use rank::{PerRank, Rank};
 pub use relayed_request::{
     NoRetryReason, Placed as PlacedRelayedRequest, RelayedRequest, RelayedRequestInfo, Routed, Sent,
