--- a/limpetkeel/src/store_snapshot.rs
+++ b/limpetkeel/src/store_snapshot.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, sync};
 
-use crate::{ingress, instance_registry, member, name, revision, upstream_registry};
+use crate::{
+    ingress, instance_registry, member, name, prompt_part, quarantine_list, revision,
+    upstream_registry,
+};
 
 /// A snapshot of the relay's data in the store.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
@@ -15,6 +18,8 @@
     pub upstreams: Vec<upstream_registry::Entry>,
     /// The instances of the system.
     pub instances: Vec<member::Contact>,
+    /// The quarantined parts of prompts.
+    pub quarantines: Vec<quarantine_list::Entry>,
     /// The entries that cannot be decoded. They are counted by the instance that reads the store.
     #[serde(skip)]
     pub unreadable: Vec<String>,
@@ -28,6 +33,7 @@
         version: u64,
         upstreams: &upstream_registry::UpstreamRegistry,
         instances: &instance_registry::InstanceRegistry,
+        quarantines: &quarantine_list::QuarantineList,
         removal: upstream_registry::Removal,
     ) -> Changes {
         let mut changes = Vec::new();
@@ -59,6 +65,22 @@
             .iter()
             .filter(|contact| !known.contains(contact));
         changes.extend(joined.cloned().map(Change::Instance));
+        let known: collections::BTreeMap<_, _> = quarantines
+            .stored_entries()
+            .map(|entry| (entry.quarantine.part, entry))
+            .collect();
+        let listed: collections::BTreeSet<_> = self
+            .quarantines
+            .iter()
+            .map(|entry| entry.quarantine.part)
+            .collect();
+        let removed = known.keys().filter(|part| !listed.contains(part));
+        changes.extend(removed.map(|part| Change::QuarantineRemoved(*part, self.revision)));
+        let changed = self
+            .quarantines
+            .iter()
+            .filter(|entry| known.get(&entry.quarantine.part) != Some(entry));
+        changes.extend(changed.copied().map(Change::Quarantine));
         Changes {
             revision: self.revision,
             changes: changes
@@ -82,6 +104,10 @@
     Instance(member::Contact),
     /// The entry of an instance was deleted.
     InstanceRemoved(name::InstanceName),
+    /// The entry of a quarantined part was written.
+    Quarantine(quarantine_list::Entry),
+    /// The entry of a quarantined part was deleted at a revision.
+    QuarantineRemoved(prompt_part::PartId, revision::Revision),
     /// The value that was written to this key cannot be decoded and is ignored.
     Unreadable(String),
 }
@@ -92,6 +118,7 @@
     Ingress,
     Upstream(name::UpstreamName),
     Instance(name::InstanceName),
+    Quarantine(prompt_part::PartId),
     Unreadable(String),
 }
 
@@ -103,6 +130,8 @@
             Change::UpstreamRemoved(name, _) => Subject::Upstream(name.clone()),
             Change::Instance(contact) => Subject::Instance(contact.name.clone()),
             Change::InstanceRemoved(name) => Subject::Instance(name.clone()),
+            Change::Quarantine(entry) => Subject::Quarantine(entry.quarantine.part),
+            Change::QuarantineRemoved(part, _) => Subject::Quarantine(*part),
             Change::Unreadable(key) => Subject::Unreadable(key.clone()),
         }
     }
--- a/limpetkeel/tests/store_snapshot.rs
+++ b/limpetkeel/tests/store_snapshot.rs
@@ -2,9 +2,10 @@
 //! follower at any revision ends with the same entries.
 
 use limpetkeel::{
-    Contact, IngressDeclaration, InstanceRegistry, Millicores, Millis, Removal, RequestLimits,
-    Revision, StoreChange, StoreChangeLog, StoreChanges, StoreSnapshot, Timestamp,
-    UpstreamRegistry, UpstreamRegistryEntry, UpstreamState,
+    Contact, IngressDeclaration, InstanceRegistry, Millicores, Millis, PartId, Quarantine,
+    QuarantineList, QuarantineListEntry, Removal, RequestLimits, Revision, StoreChange,
+    StoreChangeLog, StoreChanges, StoreSnapshot, Timestamp, UpstreamRegistry,
+    UpstreamRegistryEntry, UpstreamState,
 };
 
 fn upstream(name: &str, state: UpstreamState, revision: u64) -> StoreChange {
@@ -190,7 +191,8 @@
         instances: vec![contact("n2"), contact("n3")],
         ..StoreSnapshot::default()
     };
-    let forwarded = snapshot.changes_from(1, &registry, &instances, Removal::Certain);
+    let quarantines = QuarantineList::default();
+    let forwarded = snapshot.changes_from(1, &registry, &instances, &quarantines, Removal::Certain);
     assert_eq!(forwarded.revision, Revision(9));
     assert_eq!(forwarded.changes.len(), 5, "{forwarded:?}");
     apply(&mut registry, &forwarded);
@@ -204,3 +206,114 @@
         expected.map(|(name, revision)| (name.to_owned(), revision))
     );
 }
+
+fn quarantine(part: u64, crashes: u32, revision: u64) -> QuarantineListEntry {
+    let part = PartId(part);
+    QuarantineListEntry {
+        quarantine: Quarantine { part, crashes },
+        revision: Revision(revision),
+    }
+}
+
+/// Applies the changes that concern quarantines.
+fn apply_quarantines(list: &mut QuarantineList, changes: &StoreChanges) {
+    for (change, _) in changes.changes.clone() {
+        match change {
+            StoreChange::Quarantine(entry) => list.insert(entry),
+            StoreChange::QuarantineRemoved(part, at) => list.remove(part, at),
+            _ => {}
+        }
+    }
+    list.advance(changes.revision);
+}
+
+/// Returns the entries of a list in the order of the parts.
+fn quarantines(list: &QuarantineList) -> Vec<QuarantineListEntry> {
+    list.stored_entries().copied().collect()
+}
+
+#[test]
+fn a_snapshot_forwards_new_changed_and_removed_quarantines() {
+    let mut list = QuarantineList::default();
+    list.replace(
+        vec![
+            quarantine(1, 2, 1),
+            quarantine(2, 2, 2),
+            quarantine(3, 2, 3),
+        ],
+        Revision(3),
+    );
+    let snapshot = StoreSnapshot {
+        revision: Revision(9),
+        quarantines: vec![
+            quarantine(1, 2, 1),
+            quarantine(2, 5, 8),
+            quarantine(4, 2, 9),
+        ],
+        ..StoreSnapshot::default()
+    };
+    let instances = InstanceRegistry::new(Contact {
+        name: "n0".try_into().expect("name"),
+        availability_zone: "songino".try_into().expect("name"),
+        address: ([127, 0, 0, 1], 7000).into(),
+        processor: Millicores(500),
+    });
+    let upstreams = UpstreamRegistry::default();
+    let forwarded = snapshot.changes_from(0, &upstreams, &instances, &list, Removal::Certain);
+    assert_eq!(forwarded.changes.len(), 3, "{forwarded:?}");
+    apply_quarantines(&mut list, &forwarded);
+    assert_eq!(quarantines(&list), snapshot.quarantines);
+}
+
+#[test]
+fn a_follower_at_any_revision_ends_with_the_same_quarantines() {
+    let batches: Vec<_> = (1..60)
+        .map(|revision| {
+            let part = revision * 7 % 13;
+            let change = match revision * 5 % 3 {
+                0 | 1 => StoreChange::Quarantine(quarantine(part, revision as u32, revision)),
+                _ => StoreChange::QuarantineRemoved(PartId(part), Revision(revision)),
+            };
+            changes(revision, vec![change])
+        })
+        .collect();
+    let mut log = StoreChangeLog::default();
+    let mut current = QuarantineList::default();
+    for batch in &batches {
+        log.append(batch);
+        apply_quarantines(&mut current, batch);
+    }
+    let newest = Revision(batches.len() as u64);
+    for known in 0..batches.len() {
+        let mut follower = QuarantineList::default();
+        for batch in &batches[..known] {
+            apply_quarantines(&mut follower, batch);
+        }
+        let forwarded = log.since(Revision(known as u64), newest);
+        let forwarded = forwarded.expect("the log is complete");
+        apply_quarantines(&mut follower, &forwarded);
+        assert_eq!(
+            quarantines(&follower),
+            quarantines(&current),
+            "after {known}"
+        );
+    }
+}
+
+#[test]
+fn only_the_newest_change_of_a_quarantined_part_is_forwarded() {
+    let mut burst = changes(
+        9,
+        vec![
+            StoreChange::Quarantine(quarantine(1, 2, 6)),
+            StoreChange::Quarantine(quarantine(2, 2, 7)),
+            StoreChange::Quarantine(quarantine(1, 3, 8)),
+            StoreChange::QuarantineRemoved(PartId(2), Revision(9)),
+        ],
+    );
+    burst.remove_superseded();
+    assert_eq!(burst.changes.len(), 2, "{burst:?}");
+    let mut list = QuarantineList::default();
+    apply_quarantines(&mut list, &burst);
+    assert_eq!(quarantines(&list), [quarantine(1, 3, 8)]);
+}
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -4,8 +4,8 @@
 
 use limpetkeel::{
     BodyBudget, Contact, Ingress, InstanceName, InstanceRegistry, LockLevel, OrderedMutex, Planner,
-    PoolName, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision, StoreChangeLog,
-    StoreFollower, Timestamp, UpstreamRegistry,
+    PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision,
+    StoreChangeLog, StoreFollower, Timestamp, UpstreamRegistry,
 };
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -15,14 +15,16 @@
     relay::{exchange, jobs, port, settings},
 };
 
-/// The routing table and upstream registry, and the state of the store connection that they come
-/// from.
+/// The routing table, upstream registry and quarantine list, and the state of the store connection
+/// that they come from.
 #[derive(Debug)]
 pub struct Tables {
     /// The routing table.
     pub ingress: Ingress,
     /// The upstream registry.
     pub upstreams: UpstreamRegistry,
+    /// The quarantined parts of prompts.
+    pub quarantines: QuarantineList,
     /// The revision up to which all changes have been applied.
     pub revision: Revision,
     /// The latest changes, for peers that follow this instance.
@@ -42,6 +44,7 @@
         Tables {
             ingress: Ingress::default(),
             upstreams: UpstreamRegistry::default(),
+            quarantines: QuarantineList::default(),
             revision: Revision::default(),
             change_log: StoreChangeLog::default(),
             follower: StoreFollower::new(local),
--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -1,8 +1,11 @@
 //! Applies snapshots and changes from the store or a peer to the shared tables.
 
-use std::sync;
+use std::{collections, sync};
 
-use limpetkeel::{Removal, Revision, StoreChange, StoreChanges, StoreSnapshot, Timestamp};
+use limpetkeel::{
+    PartId, QuarantineList, QuarantineListEntry, Removal, Revision, StoreChange, StoreChanges,
+    StoreSnapshot, Timestamp,
+};
 
 use crate::relay::{jobs, shared};
 
@@ -25,6 +28,7 @@
         ingress: tables.ingress.declaration().cloned(),
         upstreams: tables.upstreams.entries().cloned().collect(),
         instances: shared.membership.lock().instances.contacts(),
+        quarantines: tables.quarantines.stored_entries().copied().collect(),
         unreadable: Vec::new(),
     }
 }
@@ -62,6 +66,7 @@
             tables.ingress.version(),
             &tables.upstreams,
             &membership.instances,
+            &tables.quarantines,
             removal,
         );
         tables.change_log.append(&changes);
@@ -72,6 +77,10 @@
     tables
         .upstreams
         .replace(now, snapshot.upstreams, snapshot.revision, removal);
+    log_quarantine_changes(&tables.quarantines, &snapshot.quarantines);
+    tables
+        .quarantines
+        .replace(snapshot.quarantines, snapshot.revision);
     tables.revision = snapshot.revision;
     tracing::info!(
         event = "catalog_adopted",
@@ -97,6 +106,7 @@
         apply_change(shared, &mut tables, now, change, removal);
     }
     tables.upstreams.remove_expired(now);
+    tables.quarantines.advance(changes.revision);
     tables.revision = tables.revision.max(changes.revision);
     go_live_if_ready(&tables, &mut shared.membership.lock());
 }
@@ -126,10 +136,47 @@
         }
         StoreChange::Instance(contact) => shared.membership.lock().instances.insert(contact),
         StoreChange::InstanceRemoved(name) => shared.membership.lock().instances.remove(&name),
+        StoreChange::Quarantine(entry) => {
+            log_listed(entry);
+            tables.quarantines.insert(entry);
+        }
+        StoreChange::QuarantineRemoved(part, revision) => {
+            log_unlisted(part);
+            tables.quarantines.remove(part, revision);
+        }
         StoreChange::Unreadable(key) => record_unreadable(shared, &key),
     }
 }
 
+/// Logs the entries of a snapshot that differ from the quarantine list.
+fn log_quarantine_changes(known: &QuarantineList, entries: &[QuarantineListEntry]) {
+    let mut unlisted: collections::BTreeMap<_, _> = known
+        .stored_entries()
+        .map(|entry| (entry.quarantine.part, entry))
+        .collect();
+    for entry in entries {
+        if unlisted.remove(&entry.quarantine.part) != Some(entry) {
+            log_listed(*entry);
+        }
+    }
+    for part in unlisted.into_keys() {
+        log_unlisted(part);
+    }
+}
+
+fn log_listed(entry: QuarantineListEntry) {
+    tracing::info!(
+        event = "quarantine_listed",
+        part = %format_args!("{:016x}", entry.quarantine.part.0),
+        crashes = entry.quarantine.crashes,
+        revision = %entry.revision,
+    );
+}
+
+fn log_unlisted(part: PartId) {
+    tracing::info!(event = "quarantine_unlisted", part = %format_args!("{:016x}", part.0));
+}
+
 /// Counts and logs an entry that cannot be decoded.
 fn record_unreadable(shared: &shared::Shared, key: &str) {
     shared.metrics.relay.unreadable_entries.inc();
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -217,6 +217,22 @@
         })
     }
 
+    /// Kills all daemons at once and starts them again with an empty state, at other addresses.
+    /// Does not wait until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a daemon cannot be started.
+    pub fn restart_daemons(&mut self) -> deployment::Result<()> {
+        let count = self.daemons.len();
+        self.daemons.clear();
+        for index in 0..count {
+            let daemon = self.start_daemon(index)?;
+            self.daemons.push(daemon);
+        }
+        Ok(())
+    }
+
     /// Writes the operator's table to the store.
     ///
     /// # Errors
