Write the quarantines of the local planners to the store

A later update of a part replaces the queued one, so a lifted quarantine is not overtaken. The store's stand-in returns the revision of a transaction, as the platform does.

--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -5,8 +5,8 @@
 //! helper engines, [`attempt`] makes one attempt over one connection of [`upstream`], and
 //! [`stream`] forwards an event stream to the caller through [`response_writer`].
 //! [`request_summary`] logs the result. [`store_watch`] receives table changes from the store, a
-//! watcher or a peer, [`store_updates`] applies them, and [`register`] keeps the local instance
-//! registered in the store. [`reload`] rereads the settings, and [`drain`] shuts the instance down.
+//! watcher or a peer, [`store_updates`] applies them, [`quarantine`] writes the quarantines
+//! of the local planners to the store, and [`register`] keeps the local instance registered there. [`reload`] rereads the settings, and [`drain`] shuts the instance down.
 //!
 //! Wire formats are confined to implementations of the traits in [`port`].
 
@@ -23,6 +23,7 @@
 pub mod peer_handler;
 pub mod planning;
 pub mod port;
+pub mod quarantine;
 pub mod register;
 pub mod reload;
 pub mod request_summary;
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -11,8 +11,8 @@
 use crate::{
     listener, metrics, peer,
     relay::{
-        body, drain, front, jobs, peer_handler, planning, port, register, reload, settings, shared,
-        store_watch, worker,
+        body, drain, front, jobs, peer_handler, planning, port, quarantine, register, reload,
+        settings, shared, store_watch, worker,
     },
 };
 
@@ -89,6 +89,7 @@
     tokio::spawn(store_watch::run_peer_fallback(shared.clone()));
     tokio::spawn(store_watch::run_expiry(shared.clone()));
     tokio::spawn(planning::run_reassignments(shared.clone()));
+    tokio::spawn(quarantine::run(shared.clone()));
     let registration = tokio::spawn(register::run(shared.clone()));
     tracing::info!(
         event = "started",
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use limpetkeel::{
-    Contact, Millis, RequestSize, Revision, StoreChange, Tokens, UpstreamName, WorkspaceName,
+    Contact, Millis, PartId, Quarantine, RequestSize, Revision, StoreChange, Tokens, UpstreamName,
+    WorkspaceName,
 };
 
 /// The decoded head of a caller's request.
@@ -239,4 +240,15 @@
 
     /// Ends a lease, which removes the instance from the store.
     fn unregister(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// Writes the entry of a quarantined part, which expires after `lifetime`. Returns the revision
+    /// of the write.
+    fn quarantine(
+        &self,
+        quarantine: Quarantine,
+        lifetime: Millis,
+    ) -> BoxFuture<'_, Result<Revision, StoreError>>;
+
+    /// Removes the entry of a part, if any. Returns the revision of the store after the removal.
+    fn lift_quarantine(&self, part: PartId) -> BoxFuture<'_, Result<Revision, StoreError>>;
 }
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -107,6 +107,8 @@
     pub changed: Notify,
     /// Notified when a pool's request was planned by another planner than the previous one.
     pub planner_changed: Notify,
+    /// Notified when a quarantine update was queued for the store.
+    pub quarantine_queued: Notify,
     /// Cancelled when the instance starts to drain.
     pub draining: CancellationToken,
     /// Cancelled when the instance stops accepting connections.
@@ -160,6 +162,7 @@
             jobs,
             changed: Notify::new(),
             planner_changed: Notify::new(),
+            quarantine_queued: Notify::new(),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
             tables: OrderedMutex::new(LockLevel::Tables, Tables::new(&settings.instance)),
--- a/standins/src/deployment/store.rs
+++ b/standins/src/deployment/store.rs
@@ -373,9 +373,10 @@
         for key in transaction.remove {
             state.delete(&key);
         }
+        let revision = state.revision;
         drop(state);
         self.changed.notify_waiters();
-        status_response(200)
+        json_response(&wire::TransactionResponse { revision })
     }
 
     fn grant_lease(&self, body: &[u8]) -> Response {
--- a/standins/tests/quarantine.rs
+++ b/standins/tests/quarantine.rs
@@ -1,8 +1,23 @@
-//! Tests of quarantined parts of prompts: they reach all daemons and outlast them.
+//! Tests of quarantined parts of prompts: they reach all daemons and outlast them, and the updates
+//! of a planner are written to the store in their order.
 
-use limpetkeel::{PartId, Quarantine};
-use platform::{entry, names};
-use standins::deployment::daemon::{self, Deployment};
+use std::{net, sync, time};
+
+use limpetkeel::{Millis, PartId, Quarantine, QuarantineUpdate};
+use limpetkeeld::{
+    metrics,
+    relay::{
+        jobs,
+        port::{Store as _, StoreError},
+        quarantine, settings, shared,
+    },
+};
+use platform::{codec, entry, names, store::Client};
+use standins::deployment::{
+    daemon::{self, Deployment},
+    store::{ResponseMode, Store},
+};
+use test_case::test_case;
 
 const PART: PartId = PartId(0xab1e);
 
@@ -70,3 +85,137 @@
     }
     assert_eq!(deployment.get_status(0, "/look/x").await, 200);
 }
+
+fn client(store: net::SocketAddr) -> Client {
+    Client::new(store, net::Ipv4Addr::LOCALHOST.into()).expect("client")
+}
+
+fn imposed(part: PartId, crashes: u32) -> Quarantine {
+    Quarantine { part, crashes }
+}
+
+/// The lifetime of a quarantine that does not expire during a test.
+const LIFETIME: Millis = Millis(60_000);
+
+#[tokio::test]
+async fn a_written_quarantine_reaches_a_daemon_without_the_store_until_it_is_lifted() {
+    let deployment = Deployment::start(3, 1).await.expect("deployment");
+    deployment.store.set_response_mode_at(2, ResponseMode::Hang);
+    let client = client(deployment.store.addresses[0]);
+    let written = client.quarantine(imposed(PART, 2), LIFETIME).await;
+    let written = written.expect("written");
+    wait_for_count(&deployment, "quarantine_listed", PART, 3).await;
+    let lifted = client.lift_quarantine(PART).await.expect("lifted");
+    assert!(lifted > written);
+    wait_for_count(&deployment, "quarantine_unlisted", PART, 3).await;
+}
+
+#[tokio::test]
+async fn a_quarantine_expires_unless_it_is_written_again() {
+    let store = Store::start(1).await.expect("store");
+    let client = client(store.addresses[0]);
+    for lifetime in [Millis(300), LIFETIME] {
+        let written = client.quarantine(imposed(PART, 2), lifetime).await;
+        written.expect("written");
+    }
+    let other = PartId(1);
+    let written = client.quarantine(imposed(other, 2), Millis(300)).await;
+    written.expect("written");
+    daemon::wait_until("the quarantine of the other part expires", async || {
+        store.keys(&key(other)).is_empty()
+    })
+    .await
+    .expect("expired");
+    assert_eq!(store.keys(names::QUARANTINE_PREFIX), [key(PART)]);
+}
+
+#[tokio::test]
+async fn a_part_without_a_quarantine_may_be_lifted() {
+    let store = Store::start(1).await.expect("store");
+    let client = client(store.addresses[0]);
+    client.lift_quarantine(PART).await.expect("lifted");
+    store.set_response_mode(ResponseMode::Refuse);
+    let lifted = client.lift_quarantine(PART).await;
+    assert_eq!(lifted, Err(StoreError::Refused(503)));
+}
+
+/// Starts the writer of an instance that uses the store.
+fn start_writer(store: &Store) -> sync::Arc<shared::Shared> {
+    let address = store.addresses[0];
+    let text = format!(
+        "instance = \"node0\"\navailability_zone = \"z\"\nhttp_listen = \"127.0.0.1:1\"\n\
+         ready_listen = \"127.0.0.1:2\"\nstatus_listen = \"127.0.0.1:3\"\n\
+         peer_listen = \"127.0.0.1:4\"\npeer_key = \"a key that all peers share\"\n\
+         store = \"{address}\"\n"
+    );
+    let settings = settings::Settings::try_from(text.as_str()).expect("settings");
+    let metrics = metrics::Metrics::new().expect("metrics");
+    let (queue, _) = jobs::Queue::new();
+    let shared = sync::Arc::new(shared::Shared::new(
+        settings,
+        metrics.into(),
+        Box::new(codec::Codec),
+        Box::new(client(address)),
+        queue,
+    ));
+    tokio::spawn(quarantine::run(shared.clone()));
+    shared
+}
+
+/// Returns the quarantines of an instance.
+fn listed(shared: &shared::Shared) -> Vec<Quarantine> {
+    shared.tables.lock().quarantines.entries().collect()
+}
+
+#[tokio::test]
+async fn an_update_is_listed_at_once_and_written_to_the_store() {
+    let store = Store::start(1).await.expect("store");
+    let shared = start_writer(&store);
+    quarantine::publish(&shared, QuarantineUpdate::Imposed(imposed(PART, 2)));
+    assert_eq!(listed(&shared), [imposed(PART, 2)]);
+    daemon::wait_until("the quarantine is written", async || {
+        store.keys(names::QUARANTINE_PREFIX) == [key(PART)]
+    })
+    .await
+    .expect("written");
+    quarantine::publish(&shared, QuarantineUpdate::Lifted(PART));
+    assert!(listed(&shared).is_empty());
+    daemon::wait_until("the quarantine is removed", async || {
+        store.keys(names::QUARANTINE_PREFIX).is_empty()
+    })
+    .await
+    .expect("removed");
+}
+
+/// The number of calls in 2 s whose delays are at least 150, 300, 600 and 1,000 ms.
+const MAX_CALLS: usize = 4;
+
+#[test_case(ResponseMode::Refuse)]
+#[test_case(ResponseMode::Hang)]
+#[tokio::test]
+async fn updates_are_written_after_an_outage_and_none_after_the_one_that_replaced_it(
+    mode: ResponseMode,
+) {
+    let store = Store::start(1).await.expect("store");
+    store.set_response_mode(mode);
+    let shared = start_writer(&store);
+    let lifted = PartId(1);
+    quarantine::publish(&shared, QuarantineUpdate::Imposed(imposed(lifted, 2)));
+    quarantine::publish(&shared, QuarantineUpdate::Imposed(imposed(PART, 2)));
+    daemon::wait_until("a write fails", async || store.call_count() > 0)
+        .await
+        .expect("failed");
+    quarantine::publish(&shared, QuarantineUpdate::Lifted(lifted));
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    assert_eq!(listed(&shared), [imposed(PART, 2)]);
+    let calls = store.call_count();
+    assert!(calls <= MAX_CALLS, "{calls} calls during the outage");
+    store.set_response_mode(ResponseMode::Normal);
+    daemon::wait_until("all updates are written", async || {
+        let now = shared.clock.now();
+        shared.tables.lock().quarantines.next_write(now).is_none()
+    })
+    .await
+    .expect("written");
+    assert_eq!(store.keys(names::QUARANTINE_PREFIX), [key(PART)]);
+}
