Test that a lost write of a quarantine cannot take effect later

Cause: the store may execute a transaction after its response was lost, even after the quarantine was lifted. Change: a test with a store that does not respond to transactions: the lease of the write is ended.

--- a/standins/tests/quarantine.rs
+++ b/standins/tests/quarantine.rs
@@ -1,8 +1,10 @@
 //! Tests of quarantined parts of prompts: they reach all daemons and outlast them, and the updates
 //! of a planner are written to the store in their order.
 
-use std::{net, sync, time};
+use std::{convert, future, net, sync, time};
 
+use hyper::{body::Incoming, server::conn::http1, service};
+use hyper_util::rt;
 use limpetkeel::{Millis, PartId, Quarantine, QuarantineUpdate};
 use limpetkeeld::{
     metrics,
@@ -139,6 +141,54 @@
     assert_eq!(lifted, Err(StoreError::Refused(503)));
 }
 
+/// The response of [`start_mute_store`] to a request for a lease.
+const LEASE_RESPONSE: &[u8] = b"{\"lease\": 7, \"ttl_ms\": 60000}";
+
+type Calls = sync::Arc<parking_lot::Mutex<Vec<String>>>;
+type Response = http::Response<http_body_util::Full<bytes::Bytes>>;
+
+/// Starts a store that grants leases and does not respond to transactions. Returns its address and
+/// the calls that it receives.
+async fn start_mute_store() -> (net::SocketAddr, Calls) {
+    let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("listener");
+    let address = listener.local_addr().expect("address");
+    let calls = Calls::default();
+    let received = calls.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let received = received.clone();
+            let handler = service::service_fn(move |req: http::Request<Incoming>| {
+                let call = format!("{} {}", req.method(), req.uri().path());
+                let is_transaction = req.uri().path() == names::TRANSACTION_PATH;
+                received.lock().push(call);
+                async move {
+                    if is_transaction {
+                        future::pending::<()>().await;
+                    }
+                    let body = bytes::Bytes::from_static(LEASE_RESPONSE);
+                    Ok::<_, convert::Infallible>(Response::new(body.into()))
+                }
+            });
+            tokio::spawn(http1::Builder::new().serve_connection(rt::TokioIo::new(stream), handler));
+        }
+    });
+    (address, calls)
+}
+
+#[tokio::test]
+async fn the_lease_of_a_write_without_a_response_is_ended() {
+    let (address, calls) = start_mute_store().await;
+    let written = client(address).quarantine(imposed(PART, 2), LIFETIME).await;
+    assert_eq!(written, Err(StoreError::NoResponse));
+    let expected = [
+        format!("POST {}", names::GRANT_LEASE_PATH),
+        format!("POST {}", names::TRANSACTION_PATH),
+        format!("DELETE {}/7", names::END_LEASE_PATH),
+    ];
+    assert_eq!(*calls.lock(), expected);
+}
+
 /// Starts the writer of an instance that uses the store.
 fn start_writer(store: &Store) -> sync::Arc<shared::Shared> {
     let address = store.addresses[0];
