Hold back requests with a part that crashes upstreams

Cause: nothing connected the crashes. Each request with the part was planned like any other one, and its retry crashed a second upstream.

Change: the planner of a pool counts a connection that breaks before the response begins as evidence against the parts of the request; a response that begins clears them. Two crashes make a part suspected, and its requests are tried one at a time on the engine with the fewest streams. A trial that crashes leads to a quarantine with a back-off of 10 to 60 s. Crashes of one moment, of one process, of a draining upstream and of parts of a response in progress do not count. An instance reports a crash before it requests the plan of the retry.

Why it works: a part that crashes upstreams never has a response, so that it is the only one whose evidence stays; its callers and other parts are cleared by the next response.

--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -100,6 +100,11 @@
     NoMemory,
     /// Every engine that prefills long prompts already helps as many leads as it accepts.
     NoHelper,
+    /// Upstreams crashed on a part of the prompt. Requests with it are held back.
+    PartHeldBack {
+        /// The time until a request with the part may be admitted.
+        retry_after: unit::Millis,
+    },
     /// The deadline passed while the request waited for a grant.
     DeadlineWhileWaiting,
     /// The byte budget of the instance for queued request bodies is exhausted.
@@ -187,6 +192,7 @@
             Error::WouldMissDeadline => "would_miss_deadline",
             Error::NoMemory => "no_memory",
             Error::NoHelper => "no_helper",
+            Error::PartHeldBack { .. } => "part_held_back",
             Error::DeadlineWhileWaiting => "deadline_while_waiting",
             Error::BodyBudgetExhausted => "body_budget_exhausted",
             Error::QueueFull => "queue_full",
@@ -233,6 +239,7 @@
             | Error::QueueFull
             | Error::RunOnceShardFull => Category::Capacity,
             Error::Draining
+            | Error::PartHeldBack { .. }
             | Error::NoUpstream(_)
             | Error::KeeperUnreachable
             | Error::StoreUnavailable
@@ -288,6 +295,10 @@
             }
             Error::NoMemory => f.write_str("no engine has memory for the prompt now"),
             Error::NoHelper => f.write_str("no engine can prefill a part of the prompt now"),
+            Error::PartHeldBack { retry_after } => write!(
+                f,
+                "requests with a part of the prompt are held back for {retry_after}"
+            ),
             Error::WouldMissDeadline => {
                 f.write_str("the request could not finish before its deadline")
             }
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -46,6 +46,7 @@
 mod lock;
 mod member;
 mod name;
+mod part_screening;
 mod plan;
 mod planner;
 mod pool;
@@ -97,6 +98,10 @@
     AvailabilityZoneName, IdempotencyKey, InstanceName, Kind as NameKind, PoolName, RouteName,
     UpstreamName, WorkspaceName,
 };
+pub use part_screening::{
+    Crash, MAX_PARTS_PER_REQUEST, PartDecision, PartDecisionKind, PartScreening, UpstreamLifetime,
+    Verdict as ScreeningVerdict,
+};
 pub use plan::{AttemptResult, Helper, Plan, PlanRequest, PlanResult, ReportedPlan};
 pub use planner::Planner;
 pub use pool::{Declaration as PoolDeclaration, Pool};
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -1,6 +1,6 @@
 //! Plans of relayed requests and the messages about them between instances and planners.
 
-use crate::{grant, ingress, name, request_size, unit};
+use crate::{grant, ingress, name, prompt_part, request_size, unit};
 
 /// A request for a plan.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -13,6 +13,8 @@
     pub availability_zone: name::AvailabilityZoneName,
     /// The size of the request; zero for a plain service.
     pub size: request_size::RequestSize,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Vec<prompt_part::PartId>,
     /// The latency objective of the request.
     pub objective: ingress::LatencyObjective,
     /// The time until the deadline. It is a duration since instances do not share a clock.
@@ -54,6 +56,8 @@
     Declined,
     /// The upstream failed or stopped sending.
     Failed,
+    /// The connection broke before the response began.
+    Crashed,
     /// The result says nothing about the upstream, since the caller disconnected or another
     /// upstream failed.
     Inconclusive,
@@ -85,6 +89,8 @@
     pub plan: Plan,
     /// The size of the request.
     pub size: request_size::RequestSize,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Vec<prompt_part::PartId>,
     /// The latency objective of the request.
     pub objective: ingress::LatencyObjective,
     /// The time until the deadline of the request.
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -15,11 +15,12 @@
 mod ledger;
 mod long_prompt;
 mod prefill_set;
+mod screening;
 mod upstream;
 
 use std::collections;
 
-use crate::{engine, error, grant, name, plan, unit, upstream_registry};
+use crate::{engine, error, grant, name, part_screening, plan, unit, upstream_registry};
 
 /// A prompt whose prefill takes more than this fraction of the shortest gap is split into parts.
 const LONG_PROMPT_FRACTION: f64 = 0.4;
@@ -48,6 +49,13 @@
 /// milliseconds. Such an upstream is likely to prefill more long prompts.
 const LONG_STREAM_COST_MS: f64 = 80.0;
 
+/// The cost of an upstream on which a trial runs, in milliseconds. The trial may break off every
+/// stream there.
+const TRIAL_LEAD_COST_MS: f64 = 1_000.0;
+
+/// The cost of the lead of a trial for each stream that it decodes, in milliseconds.
+const TRIAL_STREAM_COST_MS: f64 = 400.0;
+
 /// Plans the requests of one pool and keeps the ledger of its upstreams.
 #[derive(Debug)]
 pub struct Planner {
@@ -58,6 +66,7 @@
     prefill_set: prefill_set::PrefillSet,
     health: health::UpstreamHealth,
     plans: collections::BTreeMap<grant::RequestId, ledger::PlanRecord>,
+    screening: part_screening::PartScreening,
     registry_generation: Option<u64>,
 }
 
@@ -72,6 +81,7 @@
             prefill_set: prefill_set::PrefillSet::default(),
             health: health::UpstreamHealth::default(),
             plans: collections::BTreeMap::new(),
+            screening: part_screening::PartScreening::default(),
             registry_generation: None,
         }
     }
@@ -116,7 +126,8 @@
     /// Returns [`error::Error::NoUpstream`] if the pool has no upstream,
     /// [`error::Error::PromptTooLong`] if the prompt exceeds the plannable memory of the pool,
     /// [`error::Error::NoMemory`] if its parts do not fit into the free memory,
-    /// [`error::Error::NoHelper`] if no engine accepts a part of it, and
+    /// [`error::Error::NoHelper`] if no engine accepts a part of it,
+    /// [`error::Error::PartHeldBack`] if upstreams crashed on a part of the prompt, and
     /// [`error::Error::WouldMissDeadline`] if the estimate of a request that one upstream serves
     /// alone leaves too little of its remaining time.
     pub fn plan(
@@ -125,11 +136,12 @@
         request: &plan::PlanRequest,
     ) -> error::Result<plan::Plan> {
         self.release_expired(now);
+        let isolation = self.screen(now, request)?;
         let plan = match self.timing {
             Some(timing) if self.is_long(request.size.prompt) => {
-                self.plan_long_prompt(now, &timing, request)?
+                self.plan_long_prompt(now, &timing, request, isolation)?
             }
-            timing => self.plan_single(now, timing.as_ref(), request)?,
+            timing => self.plan_single(now, timing.as_ref(), request, isolation)?,
         };
         if let Some(lead) = self.upstreams.get(&plan.lead.upstream) {
             let (from, zone) = (&request.availability_zone, lead.availability_zone());
@@ -139,11 +151,15 @@
             pool: self.pool.clone(),
             plan,
             size: request.size,
+            parts: request.parts.clone(),
             objective: request.objective,
             remaining: request.remaining,
             response_begun: false,
         };
         self.record_plan(now, &reported_plan);
+        if isolation == screening::Isolation::Trial {
+            self.begin_trial(now, &reported_plan);
+        }
         Ok(reported_plan.plan)
     }
 
@@ -160,6 +176,7 @@
         now: unit::Timestamp,
         timing: Option<&engine::EngineTiming>,
         request: &plan::PlanRequest,
+        isolation: screening::Isolation,
     ) -> error::Result<plan::Plan> {
         self.resize_prefill_set(now, timing, &request.availability_zone);
         let cost = |upstream: &upstream::Upstream| {
@@ -167,6 +184,7 @@
             let in_prefill_set = self.prefill_set.contains(upstream.name());
             let decodes_long = upstream.stream_count_of(upstream::PromptLength::Long) > 0;
             cost + self.failure_and_zone_cost(now, upstream, request)
+                + isolation_cost(upstream, isolation)
                 + if in_prefill_set {
                     PREFILL_SET_COST_MS
                 } else {
@@ -249,3 +267,18 @@
             + if remote { REMOTE_ZONE_COST_MS } else { 0.0 }
     }
 }
+
+/// Returns the cost of an upstream for keeping trials and other requests apart, in milliseconds.
+fn isolation_cost(upstream: &upstream::Upstream, isolation: screening::Isolation) -> f64 {
+    let trial_cost = if upstream.has_trial() {
+        TRIAL_LEAD_COST_MS
+    } else {
+        0.0
+    };
+    match isolation {
+        screening::Isolation::None => trial_cost,
+        screening::Isolation::Trial => {
+            trial_cost + upstream.stream_count() as f64 * TRIAL_STREAM_COST_MS
+        }
+    }
+}
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -82,7 +82,9 @@
         let rate = self.failure_rate(now, path.upstream);
         let rate = match result {
             plan::AttemptResult::Declined => rate + (1.0 - rate) * DECLINED_WEIGHT,
-            plan::AttemptResult::Failed => rate + (1.0 - rate) * ATTEMPT_WEIGHT,
+            plan::AttemptResult::Failed | plan::AttemptResult::Crashed => {
+                rate + (1.0 - rate) * ATTEMPT_WEIGHT
+            }
             _ => rate - rate * ATTEMPT_WEIGHT,
         };
         self.failure_rates
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -1,9 +1,9 @@
 //! The life cycle of plans in the ledger: recording, the first token, completion and expiry.
 
 use crate::{
-    grant, name, plan,
+    grant, name, part_screening, plan,
     planner::{self, health, upstream},
-    unit,
+    prompt_part, unit,
 };
 
 /// How long after the deadline of its request a plan expires if its end is not reported.
@@ -20,6 +20,11 @@
     /// The expected time from the plan to the first token.
     pub(super) estimate: unit::Millis,
     pub(super) expires_at: unit::Timestamp,
+    /// The parts of the prompt that other requests may share.
+    pub(super) parts: Vec<prompt_part::PartId>,
+    /// The process of the lead, unless it was unknown or draining.
+    pub(super) lead: Option<part_screening::UpstreamLifetime>,
+    pub(super) response_begun: bool,
 }
 
 impl planner::Planner {
@@ -57,7 +62,9 @@
         } else {
             upstream::PromptLength::Short
         };
+        let mut lead_lifetime = None;
         if let Some(lead) = self.upstreams.get_mut(&plan.lead.upstream) {
+            lead_lifetime = Some(lead.lifetime());
             let stream = upstream::Stream {
                 memory: size.memory().saturating_sub(reserved),
                 prompt_length,
@@ -79,12 +86,18 @@
                 upstream.add_prefill(now, part_ms);
             }
         }
+        if reported_plan.response_begun {
+            self.screening.record_response(&reported_plan.parts);
+        }
         let record = PlanRecord {
             participants,
             part_ms,
             planned_at: now,
             estimate: plan.estimate,
             expires_at: now.after(reported_plan.remaining + EXPIRY_GRACE),
+            parts: reported_plan.parts.clone(),
+            lead: lead_lifetime,
+            response_begun: reported_plan.response_begun,
         };
         self.plans.insert(plan.id, record);
     }
@@ -94,12 +107,15 @@
     /// An engine that took longer than estimated is slow or has unaccounted work. The delay is
     /// added to its estimates and decays over time.
     pub fn record_response_begun(&mut self, now: unit::Timestamp, id: grant::RequestId) {
-        let Some(record) = self.plans.get(&id) else {
+        let Some(record) = self.plans.get_mut(&id) else {
             return;
         };
+        record.response_begun = true;
+        self.screening.record_response(&record.parts);
         for name in &record.participants {
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.finish_part(id);
+                upstream.end_trial(id);
             }
         }
         let elapsed = now.since(record.planned_at).0 as f64;
@@ -126,6 +142,7 @@
             };
             self.health.record(now, path, plan_result.result);
         }
+        self.screen_result(now, plan_result);
         self.release(now, plan_result.id, plan_result.response_begun);
     }
 
@@ -135,6 +152,7 @@
         let Some(record) = self.plans.remove(&id) else {
             return;
         };
+        self.screening.end_trial(id, &record.parts);
         for name in &record.participants {
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.release(id);
--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     engine, error, grant, plan,
-    planner::{self, PREFILL_SET_COST_MS, helpers, upstream},
+    planner::{self, PREFILL_SET_COST_MS, helpers, screening, upstream},
     unit,
 };
 
@@ -33,12 +33,13 @@
         now: unit::Timestamp,
         timing: &engine::EngineTiming,
         request: &plan::PlanRequest,
+        isolation: screening::Isolation,
     ) -> error::Result<plan::Plan> {
         let prompt = request.size.prompt;
         self.prefill_set.add_demand(now, timing.prefill_ms(prompt));
         self.resize_prefill_set(now, Some(timing), &request.availability_zone);
         let usable_memory = timing.memory().percent(USABLE_MEMORY_PERCENT);
-        let (lead, fits) = self.choose_lead(now, timing, request, usable_memory)?;
+        let (lead, fits) = self.choose_lead(now, timing, request, usable_memory, isolation)?;
         let candidates = self.helper_candidates(now, &lead, request)?;
         let reservations = if fits {
             Vec::new()
@@ -68,6 +69,7 @@
         timing: &engine::EngineTiming,
         request: &plan::PlanRequest,
         usable_memory: unit::Tokens,
+        isolation: screening::Isolation,
     ) -> error::Result<(grant::UpstreamAddress, bool)> {
         let fits = |upstream: &upstream::Upstream| {
             upstream.free_memory(usable_memory) >= request.size.memory()
@@ -81,6 +83,7 @@
             let base_estimate = upstream.estimate(now, Some(timing), Default::default());
             base_estimate
                 + self.failure_and_zone_cost(now, upstream, request)
+                + planner::isolation_cost(upstream, isolation)
                 + delayed * helpers::DELAYED_STREAM_COST_MS
                 + short_streams * SHORT_STREAM_COST_MS
                 + if fits(upstream) {
--- /dev/null
+++ b/limpetkeel/src/planner/screening.rs
@@ -0,0 +1,97 @@
+//! Screening of requests by the parts of their prompts: evidence from results, and trials.
+
+use crate::{error, part_screening, plan, planner, prompt_part, unit};
+
+/// Whether a request is kept apart from other requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Isolation {
+    /// The request shares its lead with others.
+    None,
+    /// The request is a trial, which may crash its lead.
+    Trial,
+}
+
+impl planner::Planner {
+    /// Applies the quarantines that the instances have in common. See
+    /// [`PartScreening::set_quarantines`](part_screening::PartScreening::set_quarantines).
+    pub fn set_quarantines(
+        &mut self,
+        now: unit::Timestamp,
+        quarantines: &[prompt_part::Quarantine],
+    ) {
+        self.screening.set_quarantines(now, quarantines);
+    }
+
+    /// Returns the changes of quarantines since the last call, which other instances need to know.
+    pub fn take_quarantine_updates(&mut self) -> Vec<prompt_part::QuarantineUpdate> {
+        self.screening.take_updates()
+    }
+
+    /// Returns the decisions about parts since the last call.
+    pub fn take_part_decisions(&mut self) -> Vec<part_screening::PartDecision> {
+        self.screening.take_decisions()
+    }
+
+    /// Checks whether a request may be planned, in view of the parts of its prompt.
+    pub(super) fn screen(
+        &mut self,
+        now: unit::Timestamp,
+        request: &plan::PlanRequest,
+    ) -> error::Result<Isolation> {
+        match self.screening.screen(now, &request.parts) {
+            part_screening::Verdict::Clear => Ok(Isolation::None),
+            part_screening::Verdict::Trial => Ok(Isolation::Trial),
+            part_screening::Verdict::Refused { retry_after } => {
+                Err(error::Error::PartHeldBack { retry_after })
+            }
+        }
+    }
+
+    /// Starts a trial of the suspected parts of a request that has been planned.
+    pub(super) fn begin_trial(&mut self, now: unit::Timestamp, trial: &plan::ReportedPlan) {
+        let plan = &trial.plan;
+        self.screening.begin_trial(now, plan.id, &trial.parts);
+        if let Some(lead) = self.upstreams.get_mut(&plan.lead.upstream) {
+            lead.begin_trial(plan.id);
+        }
+    }
+
+    /// Evaluates the result of an attempt as evidence about the parts of its prompt.
+    ///
+    /// The crash of an upstream that was draining or restarted says nothing. The parts of a
+    /// response in progress are sound.
+    pub(super) fn screen_result(&mut self, now: unit::Timestamp, plan_result: &plan::PlanResult) {
+        let Some(record) = self.plans.get(&plan_result.id) else {
+            return;
+        };
+        if plan_result.result == plan::AttemptResult::Inconclusive {
+            return;
+        }
+        if plan_result.response_begun {
+            self.screening.record_response(&record.parts);
+            return;
+        }
+        let current = self.upstreams.get(&plan_result.upstream);
+        let current = current.map(|upstream| upstream.lifetime());
+        if plan_result.result != plan::AttemptResult::Crashed || current != record.lead {
+            return;
+        }
+        let Some(lead) = &record.lead else {
+            return;
+        };
+        let crash = part_screening::Crash {
+            plan: plan_result.id,
+            planned_at: record.planned_at,
+            upstream: lead.clone(),
+        };
+        let responding = || self.plans.values().filter(|other| other.response_begun);
+        let is_sound = |part| responding().any(|other| other.parts.contains(part));
+        let parts: Vec<_> = record
+            .parts
+            .iter()
+            .filter(|part| !is_sound(part))
+            .copied()
+            .collect();
+        self.screening.record_crash(now, &crash, &parts);
+    }
+}
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use crate::{engine, grant, name, request_size, unit, upstream_registry};
+use crate::{engine, grant, name, part_screening, request_size, unit, upstream_registry};
 
 /// The estimated wait for a free slot or for memory on a full upstream, in milliseconds. Requests
 /// queue there.
@@ -37,6 +37,8 @@
     reservations: collections::BTreeMap<grant::RequestId, unit::Tokens>,
     /// The requests of other leads of which this upstream prefills a part.
     parts: collections::BTreeSet<grant::RequestId>,
+    /// The plans of the requests that run here as trials.
+    trials: collections::BTreeSet<grant::RequestId>,
     /// The memory of all streams and reservations.
     memory: unit::Tokens,
     /// How much later than estimated responses begin, in milliseconds, and when it was updated.
@@ -61,6 +63,7 @@
             streams: collections::BTreeMap::new(),
             reservations: collections::BTreeMap::new(),
             parts: collections::BTreeSet::new(),
+            trials: collections::BTreeSet::new(),
             memory: unit::Tokens::ZERO,
             delay: (0.0, unit::Timestamp::ZERO),
         }
@@ -99,6 +102,13 @@
         self.entry.start_time
     }
 
+    pub(super) fn lifetime(&self) -> part_screening::UpstreamLifetime {
+        part_screening::UpstreamLifetime {
+            name: self.entry.name.clone(),
+            start_time: self.entry.start_time,
+        }
+    }
+
     pub(super) fn address(&self) -> grant::UpstreamAddress {
         grant::UpstreamAddress {
             upstream: self.entry.name.clone(),
@@ -228,9 +238,25 @@
         }
     }
 
+    /// Adds a trial, which may crash the upstream.
+    pub(super) fn begin_trial(&mut self, id: grant::RequestId) {
+        self.trials.insert(id);
+    }
+
+    /// Removes the trial of a request, if it is one.
+    pub(super) fn end_trial(&mut self, id: grant::RequestId) {
+        self.trials.remove(&id);
+    }
+
+    /// Returns `true` if a trial runs on the upstream.
+    pub(super) fn has_trial(&self) -> bool {
+        !self.trials.is_empty()
+    }
+
     /// Removes the stream, the part and the reservation of a request.
     pub(super) fn release(&mut self, id: grant::RequestId) {
         self.parts.remove(&id);
+        self.trials.remove(&id);
         let freed = self.streams.remove(&id).map(|stream| stream.memory);
         let freed = freed.into_iter();
         let freed: unit::Tokens = freed.chain(self.reservations.remove(&id)).sum();
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -28,6 +28,8 @@
     pub plan_seconds: prometheus::Histogram,
     /// Seconds from arrival to the first response byte, by response form and priority.
     pub first_byte_seconds: prometheus::HistogramVec,
+    /// Decisions about parts of prompts, by kind.
+    pub part_decisions: prometheus::IntCounterVec,
     /// Store calls, by kind and result.
     pub store_calls: prometheus::IntCounterVec,
     /// Store entries that could not be parsed.
@@ -95,6 +97,11 @@
                 first_byte.buckets(FIRST_BYTE_BUCKETS.to_vec()),
                 &["form", "priority"],
             ))?,
+            part_decisions: registrar.counter_vec(
+                "limpetkeel_relay_part_decisions_total",
+                "Decisions about parts of prompts that may crash upstreams, by kind.",
+                &["decision"],
+            )?,
             store_calls: registrar.counter_vec(
                 "limpetkeel_relay_store_calls_total",
                 "Calls of the platform's store.",
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -52,7 +52,9 @@
 /// The reason for a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
-    /// The connection broke, or the response was malformed or too large.
+    /// The connection broke before the response began.
+    Crashed,
+    /// The connection broke during the response, or the response was malformed or too large.
     Broken,
     /// The response did not arrive in time.
     TimedOut,
@@ -66,6 +68,7 @@
     /// Returns the code used in metrics and logs.
     pub fn code(self) -> &'static str {
         match self {
+            Cause::Crashed => "crashed",
             Cause::Broken => "broken",
             Cause::TimedOut => "silent",
             Cause::Mismatched => "not_own",
@@ -159,7 +162,10 @@
     let sent = tokio::time::timeout_at(response_deadline, context.connection.send(req)).await;
     let mut response = sent
         .map_err(|_| Failure::Failed(Cause::TimedOut))?
-        .map_err(|_| Failure::Failed(Cause::Broken))?;
+        .map_err(|e| match e {
+            upstream::Error::Broken => Failure::Failed(Cause::Crashed),
+            _ => Failure::Failed(Cause::Broken),
+        })?;
     let response_head = shared.codec.decode_response(&response.head);
     if response_head.declined {
         let at_fault = response_head.at_fault.as_deref();
@@ -184,6 +190,9 @@
         return match result {
             Ok(()) => Ok(None),
             Err(stream::Failure::Stalled) => Err(Failure::Stalled(stream)),
+            Err(stream::Failure::Broken) if !stream.has_begun() => {
+                Err(Failure::Failed(Cause::Crashed))
+            }
             Err(stream::Failure::Broken) => Err(Failure::Failed(Cause::Broken)),
             Err(stream::Failure::NotEvents) => Err(Failure::Failed(Cause::NotEvents)),
             Err(stream::Failure::CallerDisconnected) => Err(Failure::CallerDisconnected),
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -246,7 +246,7 @@
     let result = attempt::run(shared, request, &mut sent, context, writer).await;
     let (at_fault, attempt_result, reason) = match result {
         Ok(response) => {
-            plan_guard.record_attempt_result(&lead, AttemptResult::Succeeded);
+            plan_guard.record_success(&lead);
             return AttemptOutcome::Done(
                 response.map_or(Completion::Streamed, Completion::Complete),
             );
@@ -282,6 +282,13 @@
             });
             return AttemptOutcome::Retry(sent.into_failed());
         }
+        Err(attempt::Failure::Failed(attempt::Cause::Crashed)) => {
+            plan_guard.record_attempt_result(&lead, AttemptResult::Crashed);
+            record_failed_attempt(shared, request, &lead, attempt::Cause::Crashed.code());
+            // The planner needs the evidence before it plans a retry.
+            plan_guard.report().await;
+            return AttemptOutcome::Retry(sent.into_failed());
+        }
         Err(attempt::Failure::Failed(cause)) => (lead, AttemptResult::Failed, cause.code()),
     };
     plan_guard.record_attempt_result(&at_fault, attempt_result);
@@ -361,6 +368,7 @@
             pool: relayed.info().pool.clone(),
             availability_zone: shared.settings.availability_zone.clone(),
             size: request.head.size,
+            parts: request.head.parts.clone(),
             objective,
             remaining: relayed.deadline().since(now),
             excluded_upstreams: relayed.tried_upstreams().to_vec(),
@@ -380,7 +388,12 @@
                 pool = %plan_request.pool,
                 error = %refusal,
             );
-            return Err(request_summary::FailureReason::NoPlan);
+            return Err(match refusal {
+                Error::PartHeldBack { retry_after } => {
+                    request_summary::FailureReason::PartHeldBack { retry_after }
+                }
+                _ => request_summary::FailureReason::NoPlan,
+            });
         }
         tokio::time::sleep(REPLAN_INTERVAL).await;
     }
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -7,8 +7,8 @@
 use std::{collections, sync, time};
 
 use limpetkeel::{
-    AttemptResult, Contact, Error, Plan, PlanRequest, PlanResult, Planner, PoolName, ReportedPlan,
-    RequestId, UpstreamName,
+    AttemptResult, Contact, Error, PartDecision, Plan, PlanRequest, PlanResult, Planner, PoolName,
+    ReportedPlan, RequestId, UpstreamName,
 };
 
 use crate::{
@@ -60,33 +60,53 @@
         self.plan_result.upstream = upstream.clone();
         self.plan_result.result = attempt_result;
     }
-}
 
-impl Drop for PlanGuard {
-    fn drop(&mut self) {
+    /// Records that an upstream of the plan sent a complete response.
+    pub fn record_success(&mut self, upstream: &UpstreamName) {
+        self.plan_result.response_begun = true;
+        self.record_attempt_result(upstream, AttemptResult::Succeeded);
+    }
+
+    /// Reports the result and waits until the planner has received it.
+    pub async fn report(mut self) {
+        if let Some(reporting) = self.send_result() {
+            // A report that is late is still on its way.
+            let _ = tokio::time::timeout(PLAN_TIMEOUT, reporting).await;
+        }
+    }
+
+    /// Reports the result unless it was reported before. Returns the task that sends it to a peer.
+    fn send_result(&mut self) -> Option<tokio::task::JoinHandle<()>> {
         let plan_result = self.plan_result.clone();
-        let active = self.shared.requests.lock().plans.remove(&plan_result.id);
-        let planner = active.and_then(|active| active.planner);
+        let active = self.shared.requests.lock().plans.remove(&plan_result.id)?;
         send_plan_report(
             &self.shared,
-            planner,
+            active.planner,
             message::PlanReport::PlanEnded(plan_result),
-        );
+        )
+    }
+}
+
+impl Drop for PlanGuard {
+    fn drop(&mut self) {
+        // The report is sent in the background.
+        let _ = self.send_result();
     }
 }
 
-/// Sends a report to a planner without waiting for it. `None` is the local planner.
+/// Sends a report to a planner without waiting for it, and returns the task that sends it. `None` is
+/// the local planner.
 fn send_plan_report(
     shared: &sync::Arc<shared::Shared>,
     planner: Option<Contact>,
     report: message::PlanReport,
-) {
+) -> Option<tokio::task::JoinHandle<()>> {
     let Some(planner) = planner else {
         submit_plan_report(shared, report);
-        return;
+        return None;
     };
     let shared = shared.clone();
-    tokio::spawn(async move {
+    Some(tokio::spawn(async move {
         let req = message::Request::ReportPlan(report);
         if let Err(e) = shared
             .peers
@@ -95,7 +115,7 @@
         {
             tracing::debug!(event = "note_lost", kind = req.kind(), error = %e);
         }
-    });
+    }))
 }
 
 /// Queues a report for the local planner.
@@ -155,6 +175,7 @@
             pool: plan_request.pool.clone(),
             plan: plan.clone(),
             size: plan_request.size,
+            parts: plan_request.parts.clone(),
             objective: plan_request.objective,
             remaining: plan_request.remaining,
             response_begun: false,
@@ -354,23 +375,57 @@
     let now = shared.clock.now();
     let tables = shared.tables.lock();
     let mut planners = shared.planners.lock();
-    current_planner(&tables, &mut planners, &plan_request.pool).plan(now, plan_request)
+    let planner = current_planner(&tables, &mut planners, &plan_request.pool);
+    let planned = planner.plan(now, plan_request);
+    let decisions = planner.take_part_decisions();
+    drop((planners, tables));
+    record_part_decisions(shared, &plan_request.pool, &decisions);
+    planned
+}
+
+/// Logs and counts the decisions of the local planner about parts of prompts.
+fn record_part_decisions(shared: &shared::Shared, pool: &PoolName, decisions: &[PartDecision]) {
+    for decision in decisions {
+        let code = decision.kind.code();
+        let relay = &shared.metrics.relay;
+        relay.part_decisions.with_label_values(&[code]).inc();
+        tracing::info!(
+            event = "part_screened",
+            pool = %pool,
+            part = %format_args!("{:016x}", decision.part.0),
+            decision = code,
+            crashes = decision.crashes,
+        );
+    }
 }
 
 /// Applies the start of a response to the local planner.
 fn apply_response_begun(shared: &shared::Shared, pool: &PoolName, id: RequestId) {
     let now = shared.clock.now();
-    if let Some(planner) = shared.planners.lock().get_mut(pool) {
-        planner.record_response_begun(now, id);
-    }
+    let decisions = match shared.planners.lock().get_mut(pool) {
+        Some(planner) => {
+            planner.record_response_begun(now, id);
+            planner.take_part_decisions()
+        }
+        None => return,
+    };
+    record_part_decisions(shared, pool, &decisions);
 }
 
 /// Applies a plan result to the local planner.
 fn apply_plan_result(shared: &shared::Shared, plan_result: &PlanResult) {
     let now = shared.clock.now();
-    if let Some(planner) = shared.planners.lock().get_mut(&plan_result.pool) {
-        planner.record_result(now, plan_result);
+    let tables = shared.tables.lock();
+    let mut planners = shared.planners.lock();
+    if !planners.contains_key(&plan_result.pool) {
+        return;
     }
+    // The planner needs the current upstreams to tell a crash from a planned stop.
+    let planner = current_planner(&tables, &mut planners, &plan_result.pool);
+    planner.record_result(now, plan_result);
+    let decisions = planner.take_part_decisions();
+    drop((planners, tables));
+    record_part_decisions(shared, &plan_result.pool, &decisions);
 }
 
 /// Releases a plan whose requester has stopped waiting.
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -25,6 +25,8 @@
     pub remaining: Option<Millis>,
     /// The size of a model request, in tokens.
     pub size: RequestSize,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Vec<PartId>,
     /// The last event that the caller received on an earlier stream.
     pub resume_after: Option<u64>,
 }
--- a/limpetkeeld/src/relay/request_summary.rs
+++ b/limpetkeeld/src/relay/request_summary.rs
@@ -15,6 +15,11 @@
 pub enum FailureReason {
     /// The planner refused to place the request.
     NoPlan,
+    /// Upstreams crashed on a part of the prompt, and requests with it are held back.
+    PartHeldBack {
+        /// The time until a request with the part may be admitted.
+        retry_after: Millis,
+    },
     /// Connecting to upstreams or reserving memory on them failed too often.
     Unreachable,
     /// A retry is not allowed.
@@ -32,6 +37,7 @@
     pub fn code(self) -> &'static str {
         match self {
             FailureReason::NoPlan => "no_plan",
+            FailureReason::PartHeldBack { .. } => "part_held_back",
             FailureReason::Unreachable => "unreached",
             FailureReason::NoRetry(NoRetryReason::MayHaveRun) => "may_have_run",
             FailureReason::NoRetry(NoRetryReason::MaxSendsReached) => "sends_used",
@@ -148,6 +154,9 @@
         }
         self.failure = Some(reason);
         response_writer::Response::Refusal(match (self.may_have_run, reason) {
+            (false, FailureReason::PartHeldBack { retry_after }) => {
+                port::Refusal::NotRun(retry_after)
+            }
             (false, _) => port::Refusal::NotRun(RETRY_AFTER),
             (
                 true,
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns `true` if an event has arrived.
+    pub fn has_begun(&self) -> bool {
+        self.event_received
+    }
+
     /// Forwards events until the stream ends.
     ///
     /// # Errors
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -33,8 +33,10 @@
 pub enum Error {
     /// The connection could not be established, so nothing was sent.
     NotConnected,
-    /// The connection broke, or the response was malformed.
+    /// The connection broke.
     Broken,
+    /// The response is not valid HTTP.
+    Malformed,
     /// The response did not arrive in time.
     TimedOut,
 }
@@ -105,7 +107,14 @@
     /// Returns an error if no response arrives. The request may have run.
     pub async fn send(mut self, req: http::Request<Bytes>) -> Result<Response, Error> {
         let res = self.sender.send_request(req.map(Full::new)).await;
-        let (head, body) = res.map_err(|_| Error::Broken)?.into_parts();
+        let res = res.map_err(|e| {
+            if e.is_parse() {
+                Error::Malformed
+            } else {
+                Error::Broken
+            }
+        });
+        let (head, body) = res?.into_parts();
         Ok(Response {
             head,
             body,
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -30,6 +30,9 @@
     WrongUpstream,
     /// Runs the request and closes the connection without a response.
     DropResponse,
+    /// Closes the connection without a response to a request whose prompt has the given part, and
+    /// runs other requests.
+    CrashOnPart(u64),
     /// Runs the request and responds with bytes that are not HTTP.
     MalformedResponse,
     /// Runs the request and responds with the id of another request.
@@ -69,6 +72,15 @@
     pub ran: bool,
 }
 
+impl ReceivedRequest {
+    /// Returns `true` if the prompt has a part.
+    pub fn has_part(&self, part: u64) -> bool {
+        let parts = self.headers.get(names::PROMPT_PARTS.as_str());
+        let mut parts = parts.into_iter().flat_map(|parts| parts.split(','));
+        parts.any(|entry| entry.starts_with(&format!("{part:x}:")))
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     behavior: Option<Behavior>,
@@ -188,6 +200,12 @@
         }
         request.body = body;
         request.ran = !matches!(behavior, Behavior::Decline | Behavior::WrongUpstream);
+        if let Behavior::CrashOnPart(part) = behavior
+            && request.has_part(part)
+        {
+            self.state.lock().received.push(request);
+            return Some(());
+        }
         let received = request.clone();
         self.state.lock().received.push(received);
         if request.request_line.contains("/stream/") && sends_streams(behavior) {
@@ -301,6 +319,7 @@
     matches!(
         behavior,
         Behavior::Normal
+            | Behavior::CrashOnPart(_)
             | Behavior::CutAfter(_)
             | Behavior::HangAfter(_)
             | Behavior::GapAfterTwo(_)
--- /dev/null
+++ b/standins/tests/prompt_parts.rs
@@ -0,0 +1,90 @@
+//! Tests of prompts with a part on which upstreams crash.
+
+use std::time;
+
+use platform::names;
+use standins::deployment::{
+    daemon::{self, CallerResponse, Deployment},
+    upstream::{self, Behavior},
+};
+
+/// The part on which upstreams crash.
+const DEADLY_PART: u64 = 0xdead;
+
+/// The number of upstreams, of which each crash needs another one.
+const UPSTREAMS: usize = 9;
+
+/// The largest number of requests with the part that may reach an upstream.
+const MAX_DEADLY_SENDS: usize = 4;
+
+/// The interval between two requests with the part.
+const INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// Sends a stream request through a daemon. The prompt has a part that all requests share, another
+/// one, and one of its own.
+async fn send(
+    deployment: &Deployment,
+    daemon_index: usize,
+    number: usize,
+    part: u64,
+) -> CallerResponse {
+    let id = format!("id{part:x}-{number}");
+    let parts = format!("c0de:40,{part:x}:60,{number:x}:20");
+    let req = deployment
+        .request(daemon_index, "POST", "/stream/x", &id)
+        .header(names::PROMPT_PARTS, parts)
+        .body("prompt");
+    deployment.send(req).await.expect("response")
+}
+
+/// Waits until one daemon plans the requests of both.
+async fn wait_for_common_planner(deployment: &Deployment) {
+    daemon::wait_until("both daemons have the same planner", async || {
+        let ids = [0, 1].map(|index| format!("probe{index}-{:016x}", rand::random::<u64>()));
+        for (index, id) in ids.iter().enumerate() {
+            let probe = deployment.request(index, "POST", "/stream/x", id);
+            deployment.send(probe).await.expect("response");
+        }
+        let log = deployment.log();
+        let planned_locally = ids.map(|id| {
+            let request = format!("event=planned request={id} ");
+            log.lines()
+                .any(|line| line.contains(&request) && line.contains("planner=own"))
+        });
+        planned_locally[0] != planned_locally[1]
+    })
+    .await
+    .expect("common planner");
+}
+
+#[tokio::test]
+async fn a_part_that_crashes_upstreams_does_not_reach_one_after_the_other() {
+    let deployment = Deployment::start(2, UPSTREAMS).await.expect("deployment");
+    wait_for_common_planner(&deployment).await;
+    deployment.set_behavior(Behavior::CrashOnPart(DEADLY_PART));
+    let mut statuses = Vec::new();
+    for number in 0..12 {
+        let (deadly, sound) = tokio::join!(
+            send(&deployment, number % 2, number, DEADLY_PART),
+            send(&deployment, (number + 1) % 2, number, 0x50),
+        );
+        assert_eq!(sound.status, 200);
+        assert_eq!(sound.body, Some(upstream::complete_stream()));
+        if deadly.status == 503 {
+            assert!(deadly.retry_after.is_some());
+        }
+        statuses.push(deadly.status);
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let deadly_sends: usize = deployment
+        .upstreams
+        .iter()
+        .flat_map(upstream::Upstream::received)
+        .filter(|request| request.has_part(DEADLY_PART))
+        .count();
+    assert!(
+        deadly_sends <= MAX_DEADLY_SENDS,
+        "{deadly_sends} requests with the part were sent: {statuses:?}"
+    );
+    assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
+}
