Share the quarantines of the planners through the store

Callers saw the part held back by one planner crash further upstreams after another instance became the planner of the pool: of two daemons, 6 requests with the part were sent instead of 3.

Cause: what a planner had learned stayed in its process. Change: a planner takes the quarantine list of its instance before it plans, and its changes are published after each plan and report. Why it works: every planner starts with the quarantines in the store.

--- a/limpetkeel/src/part_screening/screened_part.rs
+++ b/limpetkeel/src/part_screening/screened_part.rs
@@ -7,6 +7,7 @@
 use crate::{
     grant,
     part_screening::{Crash, UpstreamLifetime},
+    quarantine_list::QUARANTINE_LIFETIME,
     unit,
 };
 
@@ -21,9 +22,6 @@
 /// How long evidence without a quarantine is kept after the last crash.
 const EVIDENCE_LIFETIME: unit::Millis = unit::Millis(30_000);
 
-/// How long a quarantine is kept after the last crash.
-const QUARANTINE_LIFETIME: unit::Millis = unit::Millis(10 * 60 * 1_000);
-
 /// The time until the first trial of a quarantined part. It doubles with each further crash.
 const INITIAL_BACK_OFF: unit::Millis = unit::Millis(10_000);
 
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -68,6 +68,7 @@
     plans: collections::BTreeMap<grant::RequestId, ledger::PlanRecord>,
     screening: part_screening::PartScreening,
     registry_generation: Option<u64>,
+    quarantine_generation: Option<u64>,
 }
 
 impl Planner {
@@ -83,6 +84,7 @@
             plans: collections::BTreeMap::new(),
             screening: part_screening::PartScreening::default(),
             registry_generation: None,
+            quarantine_generation: None,
         }
     }
 
--- a/limpetkeel/src/planner/screening.rs
+++ b/limpetkeel/src/planner/screening.rs
@@ -12,13 +12,20 @@
 }
 
 impl planner::Planner {
+    /// Returns `true` if the quarantines were set from another generation of the quarantine list.
+    pub fn has_outdated_quarantines(&self, generation: u64) -> bool {
+        self.quarantine_generation != Some(generation)
+    }
+
     /// Applies the quarantines that the instances have in common. See
     /// [`PartScreening::set_quarantines`](part_screening::PartScreening::set_quarantines).
     pub fn set_quarantines(
         &mut self,
         now: unit::Timestamp,
+        generation: u64,
         quarantines: &[prompt_part::Quarantine],
     ) {
+        self.quarantine_generation = Some(generation);
         self.screening.set_quarantines(now, quarantines);
     }
 
--- a/limpetkeel/tests/part_screening.rs
+++ b/limpetkeel/tests/part_screening.rs
@@ -259,9 +259,9 @@
 fn a_quarantine_expires_and_is_lifted_for_all() {
     let mut screening = quarantined(DEADLY);
     screening.take_updates();
-    let verdict = screening.screen(Timestamp(500_000), &[DEADLY]);
+    let verdict = screening.screen(Timestamp(200_000), &[DEADLY]);
     assert_eq!(verdict, ScreeningVerdict::Trial);
-    let verdict = screening.screen(Timestamp(700_000), &[DEADLY]);
+    let verdict = screening.screen(Timestamp(400_000), &[DEADLY]);
     assert_eq!(verdict, ScreeningVerdict::Clear);
     assert_eq!(screening.take_updates(), [QuarantineUpdate::Lifted(DEADLY)]);
 }
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -8,12 +8,12 @@
 
 use limpetkeel::{
     AttemptResult, Contact, Error, PartDecision, Plan, PlanRequest, PlanResult, Planner, PoolName,
-    ReportedPlan, RequestId, UpstreamName,
+    QuarantineUpdate, ReportedPlan, RequestId, Timestamp, UpstreamName,
 };
 
 use crate::{
     peer::message,
-    relay::{jobs, shared},
+    relay::{jobs, quarantine, shared},
 };
 
 /// Timeout of a plan request to a planner: an eighth of the shortest objective and ten round
@@ -339,7 +339,7 @@
     let tables = shared.tables.lock();
     let mut planners = shared.planners.lock();
     for reported_plan in reported_plans {
-        current_planner(&tables, &mut planners, &reported_plan.pool)
+        current_planner(now, &tables, &mut planners, &reported_plan.pool)
             .record_reported_plan(now, reported_plan);
     }
 }
@@ -348,6 +348,7 @@
 
 /// Returns the local planner of a pool, updated to the shared tables.
 fn current_planner<'a>(
+    now: Timestamp,
     tables: &shared::Tables,
     planners: &'a mut Planners,
     pool: &PoolName,
@@ -360,6 +361,11 @@
     if planner.is_outdated(generation) {
         planner.set_upstreams(generation, &tables.upstreams.ready_upstreams(pool));
     }
+    let generation = tables.quarantines.generation();
+    if planner.has_outdated_quarantines(generation) {
+        let quarantines: Vec<_> = tables.quarantines.entries().collect();
+        planner.set_quarantines(now, generation, &quarantines);
+    }
     planner
 }
 
@@ -375,17 +381,35 @@
     let now = shared.clock.now();
     let tables = shared.tables.lock();
     let mut planners = shared.planners.lock();
-    let planner = current_planner(&tables, &mut planners, &plan_request.pool);
+    let planner = current_planner(now, &tables, &mut planners, &plan_request.pool);
     let planned = planner.plan(now, plan_request);
-    let decisions = planner.take_part_decisions();
+    let screened = take_screened(planner);
     drop((planners, tables));
-    record_part_decisions(shared, &plan_request.pool, &decisions);
+    publish_screened(shared, &plan_request.pool, screened);
     planned
 }
 
-/// Logs and counts the decisions of the local planner about parts of prompts.
-fn record_part_decisions(shared: &shared::Shared, pool: &PoolName, decisions: &[PartDecision]) {
-    for decision in decisions {
+/// What a planner has decided about parts of prompts.
+struct Screened {
+    decisions: Vec<PartDecision>,
+    updates: Vec<QuarantineUpdate>,
+}
+
+/// Takes what a planner has decided about parts of prompts since the last call.
+fn take_screened(planner: &mut Planner) -> Screened {
+    Screened {
+        decisions: planner.take_part_decisions(),
+        updates: planner.take_quarantine_updates(),
+    }
+}
+
+/// Logs and counts the decisions of a local planner, and publishes its quarantines. The caller must
+/// not hold a lock.
+fn publish_screened(shared: &shared::Shared, pool: &PoolName, screened: Screened) {
+    for update in screened.updates {
+        quarantine::publish(shared, update);
+    }
+    for decision in screened.decisions {
         let code = decision.kind.code();
         let relay = &shared.metrics.relay;
         relay.part_decisions.with_label_values(&[code]).inc();
@@ -402,14 +426,14 @@
 /// Applies the start of a response to the local planner.
 fn apply_response_begun(shared: &shared::Shared, pool: &PoolName, id: RequestId) {
     let now = shared.clock.now();
-    let decisions = match shared.planners.lock().get_mut(pool) {
+    let screened = match shared.planners.lock().get_mut(pool) {
         Some(planner) => {
             planner.record_response_begun(now, id);
-            planner.take_part_decisions()
+            take_screened(planner)
         }
         None => return,
     };
-    record_part_decisions(shared, pool, &decisions);
+    publish_screened(shared, pool, screened);
 }
 
 /// Applies a plan result to the local planner.
@@ -421,11 +445,11 @@
         return;
     }
     // The planner needs the current upstreams to tell a crash from a planned stop.
-    let planner = current_planner(&tables, &mut planners, &plan_result.pool);
+    let planner = current_planner(now, &tables, &mut planners, &plan_result.pool);
     planner.record_result(now, plan_result);
-    let decisions = planner.take_part_decisions();
+    let screened = take_screened(planner);
     drop((planners, tables));
-    record_part_decisions(shared, &plan_result.pool, &decisions);
+    publish_screened(shared, &plan_result.pool, screened);
 }
 
 /// Releases a plan whose requester has stopped waiting.
--- a/standins/tests/prompt_parts.rs
+++ b/standins/tests/prompt_parts.rs
@@ -57,6 +57,15 @@
     .expect("common planner");
 }
 
+/// Returns the number of requests with the deadly part that have reached an upstream.
+fn count_deadly_sends(deployment: &Deployment) -> usize {
+    let upstreams = deployment.upstreams.iter();
+    let received = upstreams.flat_map(upstream::Upstream::received);
+    received
+        .filter(|request| request.has_part(DEADLY_PART))
+        .count()
+}
+
 #[tokio::test]
 async fn a_part_that_crashes_upstreams_does_not_reach_one_after_the_other() {
     let deployment = Deployment::start(2, UPSTREAMS).await.expect("deployment");
@@ -76,15 +85,37 @@
         statuses.push(deadly.status);
         tokio::time::sleep(INTERVAL).await;
     }
-    let deadly_sends: usize = deployment
-        .upstreams
-        .iter()
-        .flat_map(upstream::Upstream::received)
-        .filter(|request| request.has_part(DEADLY_PART))
-        .count();
+    let deadly_sends = count_deadly_sends(&deployment);
     assert!(
         deadly_sends <= MAX_DEADLY_SENDS,
         "{deadly_sends} requests with the part were sent: {statuses:?}"
     );
     assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
 }
+
+#[tokio::test]
+async fn a_restart_of_all_daemons_does_not_forget_a_part_that_crashes_upstreams() {
+    let mut deployment = Deployment::start(2, UPSTREAMS).await.expect("deployment");
+    wait_for_common_planner(&deployment).await;
+    deployment.set_behavior(Behavior::CrashOnPart(DEADLY_PART));
+    for number in 0..4 {
+        send(&deployment, number % 2, number, DEADLY_PART).await;
+        tokio::time::sleep(INTERVAL).await;
+    }
+    daemon::wait_until("the quarantine is in the store", async || {
+        !deployment.store.keys(names::QUARANTINE_PREFIX).is_empty()
+    })
+    .await
+    .expect("stored");
+    let before = count_deadly_sends(&deployment);
+    deployment.restart_daemons().expect("restarted");
+    for daemon_index in 0..2 {
+        deployment.wait_ready(daemon_index).await.expect("ready");
+    }
+    for number in 4..10 {
+        let response = send(&deployment, number % 2, number, DEADLY_PART).await;
+        assert_eq!(response.status, 503);
+        assert!(response.retry_after.is_some());
+    }
+    assert_eq!(count_deadly_sends(&deployment), before);
+}
