--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -2,6 +2,7 @@
 //! store and for upstreams, whose failures can be controlled.
 
 pub mod daemon;
+pub mod scripted;
 pub mod store;
 pub mod table;
 pub mod upstream;
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -8,7 +8,7 @@
     net as tcp,
 };
 
-use crate::deployment;
+use crate::deployment::{self, scripted};
 
 /// Returns the body of a complete stream as a caller receives it.
 pub fn complete_stream() -> String {
@@ -55,6 +55,8 @@
     GapAfterTwo(u64),
     /// Runs the request, and responds and closes the connection before it has read the body.
     EarlyResponse,
+    /// Runs the request, unless the response declines it, and sends a scripted response.
+    Scripted(scripted::Script),
 }
 
 /// A request as an upstream received it.
@@ -199,7 +201,11 @@
             body.extend_from_slice(&buf[..count]);
         }
         request.body = body;
-        request.ran = !matches!(behavior, Behavior::Decline | Behavior::WrongUpstream);
+        request.ran = match behavior {
+            Behavior::Decline | Behavior::WrongUpstream => false,
+            Behavior::Scripted(script) => !script.declines(),
+            _ => true,
+        };
         if let Behavior::CrashOnPart(part) = behavior
             && request.has_part(part)
         {
@@ -208,6 +214,13 @@
         }
         let received = request.clone();
         self.state.lock().received.push(received);
+        if let Behavior::Scripted(script) = behavior {
+            if script.send(&mut stream, &self.name, &request.id).await == scripted::Closed::BySender
+            {
+                self.state.lock().disconnects += 1;
+            }
+            return Some(());
+        }
         if request.request_line.contains("/stream/") && sends_streams(behavior) {
             return self.send_stream(&mut stream, &request, behavior).await;
         }
