Reject responses with a content coding

Callers ask for bodies without any coding. A response with Content-Encoding was forwarded as a success, and its bytes were split into events, also in the middle of a stream that another upstream had begun.

Such a response is not the body of the upstream. The attempt now fails as mismatched and is retried where the route allows it.

Before: a caller got 200 with the encoded body; a stream broken off after two events was continued with bytes of an encoded body and ended as complete; so was a stream that the caller had resumed. After: 502, a stream cut after its second event, and a stream continued by the other upstream.

--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -58,7 +58,7 @@
     Broken,
     /// The response did not arrive in time.
     TimedOut,
-    /// The response is for another request or unsigned.
+    /// The response is for another request, unsigned, or encoded, which callers do not accept.
     Mismatched,
     /// The stream contains bytes that are not an event.
     NotEvents,
@@ -178,7 +178,7 @@
             at_fault.and_then(|at| resolve_upstream(shared, at)),
         ));
     }
-    if own_id != Some(true) || !response_head.signed {
+    if own_id != Some(true) || !response_head.signed || response.is_encoded() {
         return Err(Failure::Failed(Cause::Mismatched));
     }
     let success = response.head.status.is_success();
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -4,6 +4,7 @@
 use std::{io, net, time};
 
 use bytes::Bytes;
+use http::header;
 use http_body_util::{BodyExt as _, Full};
 use hyper::{body, client::conn::http1};
 use hyper_util::rt;
@@ -50,6 +51,11 @@
 }
 
 impl Response {
+    /// Returns `true` if the body has a content coding.
+    pub fn is_encoded(&self) -> bool {
+        self.head.headers.contains_key(header::CONTENT_ENCODING)
+    }
+
     /// Receives the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
--- a/standins/tests/relay_faulty.rs
+++ b/standins/tests/relay_faulty.rs
@@ -111,12 +111,31 @@
     }
 }
 
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-encoding: gzip\r\ncontent-length: 6\r\n\r\nanswer";
+    "a content encoding"
+)]
+#[tokio::test]
+async fn a_response_in_another_form_is_not_forwarded(text: &'static str) {
+    let deployment = Deployment::start(1, 2).await.expect("deployment");
+    deployment.set_behavior(scripted(text, End::Close));
+    let req = deployment.request(0, "POST", "/book/x", "id1").body("b");
+    let response = deployment.send(req).await.expect("response");
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(response.signed_by, None);
+    assert_eq!(deployment.run_count("id1"), 1);
+}
+
 #[test_case("HTTP/1.1 503 Busy\r\n{own}{not-run}content-length: 7\r\n\r\nbusy\n\n\n"; "declined")]
 #[test_case("HTTP/1.1 503 Busy\r\n{own}content-length: 7\r\n\r\nbusy\n\n\n"; "503")]
 #[test_case("HTTP/1.1 500 Error\r\n{own}content-length: 7\r\n\r\nfail\n\n\n"; "500")]
 #[test_case("HTTP/1.1 400 Bad\r\n{own}content-length: 7\r\n\r\nbad!\n\n\n"; "400")]
 #[test_case("HTTP/1.1 302 Found\r\n{own}location: /\r\ncontent-length: 7\r\n\r\ngone\n\n\n"; "302")]
 #[test_case("HTTP/1.1 101 Switching Protocols\r\n{own}connection: upgrade\r\nupgrade: x\r\n\r\n"; "101")]
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\ncontent-encoding: gzip\r\n\
+     content-length: 15\r\n\r\nid: 4\ndata: x\n\n"; "a content encoding"
+)]
 #[test_case("HTTP/1.1 200 OK\r\n{own}content-type: text/ev"; "half a head")]
 #[test_case("HTTP/1.1 200 OK\r\n"; "a status line")]
 #[test_case("<html>error</html>\r\n\r\n"; "no response")]
@@ -138,6 +157,10 @@
     }
 }
 
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\ncontent-encoding: gzip\r\n\
+     content-length: 15\r\n\r\nid: 4\ndata: x\n\n"; "a content encoding"
+)]
 #[test_case("HTTP/1.1 500 Error\r\n{own}content-length: 7\r\n\r\nfail\n\n\n"; "500")]
 #[tokio::test]
 async fn a_stream_that_a_caller_resumes_contains_no_error_text(text: &'static str) {
