Reject status 101 from upstreams

An upstream that answered 101 Switching Protocols had its response forwarded with its signature: the caller got a 101 although it had asked for no upgrade, and its connection carried no HTTP any more.

hyper hands other interim responses to nobody and waits for the final one, but returns 101 as a final response. The relay offers no upgrade, so that a 101 is malformed: the attempt fails as broken.

Before: status 101 to the caller of a request that had run.

--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -166,6 +166,10 @@
             upstream::Error::Broken => Failure::Failed(Cause::Crashed),
             _ => Failure::Failed(Cause::Broken),
         })?;
+    if response.head.status.is_informational() {
+        // The request offers no upgrade.
+        return Err(Failure::Failed(Cause::Broken));
+    }
     let response_head = shared.codec.decode_response(&response.head);
     let own_id = response_head
         .id
--- a/standins/tests/relay_faulty.rs
+++ b/standins/tests/relay_faulty.rs
@@ -111,6 +111,7 @@
     }
 }
 
+#[test_case("HTTP/1.1 101 Switching Protocols\r\n{own}connection: upgrade\r\nupgrade: x\r\n\r\n"; "101")]
 #[test_case(
     "HTTP/1.1 200 OK\r\n{own}content-encoding: gzip\r\ncontent-length: 6\r\n\r\nanswer";
     "a content encoding"
