Check that a stream consists of events that follow the delivered ones

A stream had begun and broke off; the next upstream answered 200 with an HTML page, JSON or plain text. Callers found that text in the middle of their stream, or the stream ended as complete.

Every success on a streaming route was split at blank lines and forwarded, whatever its media type, and a piece without an id was taken for a new event.

The attempt now fails as "not_events" if the media type is another one than text/event-stream, or if the response begins with an empty event or, when it resumes a stream, with an event without an id. A missing media type is accepted.

Before: seven cases failed (HTML, empty JSON, text without a media type and an event without an id after a broken-off stream; HTML and an event without an id where the caller resumed; endless blank lines). After: all pass.

--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -60,7 +60,7 @@
     TimedOut,
     /// The response is for another request, unsigned, or encoded, which callers do not accept.
     Mismatched,
-    /// The stream contains bytes that are not an event.
+    /// The response is not a stream of events, or its events cannot follow the delivered ones.
     NotEvents,
 }
 
@@ -187,6 +187,9 @@
     }
     let success = response.head.status.is_success();
     if success && request.admission.route.form() == ResponseForm::Stream {
+        if !response.may_contain_events() {
+            return Err(Failure::Failed(Cause::NotEvents));
+        }
         let head = shared.codec.encode_response(&response.head);
         let mut stream = stream::OpenStream::new(response, head);
         let context = stream::StreamContext {
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -32,7 +32,7 @@
     Stalled,
     /// The connection broke.
     Broken,
-    /// The stream contains bytes that are not an event.
+    /// The stream contains bytes that are not an event, or begins with an event that cannot be first.
     NotEvents,
     /// The caller disconnected.
     CallerDisconnected,
@@ -67,6 +67,13 @@
         .duration()
 }
 
+/// Returns `true` if a response can begin with this event. An empty one is none, and without an ID it
+/// is unknown whether an event follows the delivered ones.
+fn can_begin(event: &events::Event, relayed: &RelayedRequest<Sent>) -> bool {
+    let resumes = relayed.last_delivered_event().is_some();
+    !event.bytes.trim_ascii().is_empty() && (event.id.is_some() || !resumes)
+}
+
 impl OpenStream {
     /// Creates a stream from a response. `head` is the response head to send to the caller.
     pub fn new(response: upstream::Response, head: http::response::Parts) -> OpenStream {
@@ -104,6 +111,9 @@
         loop {
             while let Some(event) = self.next_event()? {
                 deadline = tokio::time::Instant::now() + gap_timeout;
+                if !self.event_received && !can_begin(&event, relayed) {
+                    return Err(Failure::NotEvents);
+                }
                 if !std::mem::replace(&mut self.event_received, true) {
                     context.plan_guard.record_response_begun();
                 }
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -29,6 +29,9 @@
 /// may stay reserved on an engine without a request.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// The media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Errors of a request to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -56,6 +59,15 @@
         self.head.headers.contains_key(header::CONTENT_ENCODING)
     }
 
+    /// Returns `true` unless the media type states that the body is not an event stream.
+    pub fn may_contain_events(&self) -> bool {
+        let media_type = self.head.headers.get(header::CONTENT_TYPE);
+        media_type.is_none_or(|value| {
+            let essence = value.as_bytes().split(|byte| *byte == b';').next();
+            essence.is_some_and(|text| text.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+        })
+    }
+
     /// Receives the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
--- a/standins/tests/relay_faulty.rs
+++ b/standins/tests/relay_faulty.rs
@@ -133,6 +133,17 @@
 #[test_case("HTTP/1.1 400 Bad\r\n{own}content-length: 7\r\n\r\nbad!\n\n\n"; "400")]
 #[test_case("HTTP/1.1 302 Found\r\n{own}location: /\r\ncontent-length: 7\r\n\r\ngone\n\n\n"; "302")]
 #[test_case("HTTP/1.1 101 Switching Protocols\r\n{own}connection: upgrade\r\nupgrade: x\r\n\r\n"; "101")]
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-type: text/html\r\ncontent-length: 7\r\n\r\n<html\n\n"; "html"
+)]
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-type: application/json\r\ncontent-length: 0\r\n\r\n"; "empty json"
+)]
+#[test_case("HTTP/1.1 200 OK\r\n{own}content-length: 7\r\n\r\nerror\n\n"; "text without a type")]
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\ncontent-length: 13\r\n\r\ndata: error\n\n";
+    "an event without an id"
+)]
 #[test_case(
     "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\ncontent-encoding: gzip\r\n\
      content-length: 15\r\n\r\nid: 4\ndata: x\n\n"; "a content encoding"
@@ -158,10 +169,17 @@
     }
 }
 
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-type: text/html\r\ncontent-length: 7\r\n\r\n<html\n\n"; "html"
+)]
 #[test_case(
     "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\ncontent-encoding: gzip\r\n\
      content-length: 15\r\n\r\nid: 4\ndata: x\n\n"; "a content encoding"
 )]
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\ncontent-length: 13\r\n\r\ndata: error\n\n";
+    "an event without an id"
+)]
 #[test_case("HTTP/1.1 500 Error\r\n{own}content-length: 7\r\n\r\nfail\n\n\n"; "500")]
 #[tokio::test]
 async fn a_stream_that_a_caller_resumes_contains_no_error_text(text: &'static str) {
@@ -309,6 +327,7 @@
 #[test_case("", "HTTP/1.1 103 Early Hints\r\n\r\n"; "interim responses")]
 #[test_case("HTTP/1.1 200 OK\r\n{own}\r\n", "a"; "a body without a length")]
 #[test_case("HTTP/1.1 200 OK\r\n{own}\r\n", "id: 1\n"; "an event")]
+#[test_case("HTTP/1.1 200 OK\r\n{own}\r\n", "\n"; "blank lines")]
 #[test_case("HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n1;", "a"; "a chunk extension")]
 #[test_case(
     "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n0\r\n", "x-a: b\r\n"; "trailers"
