Do not end a stream as complete after a response that stops at its head

A stream had begun and broke off; the next upstream sent the head of a success with neither a length nor chunks, or a 204, and closed. The caller's stream ended as if it were complete.

A resumed stream without events counted as complete, as it is if the first upstream broke off after its last event. A response that ends with its connection does not tell that apart from an upstream that stopped.

Such a response is now broken off. With a length of 0 or a final chunk, the upstream itself states that nothing follows, and the stream is complete.

Before: two cases ended as complete after two of six events. After: they are cut after the second event.

--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -139,12 +139,18 @@
             };
             match received.map_err(|_| Failure::Broken)? {
                 Some(bytes) => self.buffer.push(&bytes),
-                None if self.buffer.is_empty() && writer.is_streaming() => return Ok(()),
+                None if writer.is_streaming() && self.is_complete() => return Ok(()),
                 None => return Err(Failure::Broken),
             }
         }
     }
 
+    /// Returns `true` if a response that has ended here is complete. Without any event, that needs a
+    /// length or chunks: an upstream that stops after the head may close its connection cleanly.
+    fn is_complete(&self) -> bool {
+        self.buffer.is_empty() && (self.event_received || !self.response.ends_with_connection())
+    }
+
     fn next_event(&mut self) -> Result<Option<events::Event>, Failure> {
         let event = self.buffer.next_event();
         event.map_err(|events::NotAnEvent| Failure::NotEvents)
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -68,6 +68,13 @@
         })
     }
 
+    /// Returns `true` if the body has neither a length nor chunks and ends with the connection.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Receives the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
--- a/standins/tests/relay_faulty.rs
+++ b/standins/tests/relay_faulty.rs
@@ -132,6 +132,7 @@
 #[test_case("HTTP/1.1 500 Error\r\n{own}content-length: 7\r\n\r\nfail\n\n\n"; "500")]
 #[test_case("HTTP/1.1 400 Bad\r\n{own}content-length: 7\r\n\r\nbad!\n\n\n"; "400")]
 #[test_case("HTTP/1.1 302 Found\r\n{own}location: /\r\ncontent-length: 7\r\n\r\ngone\n\n\n"; "302")]
+#[test_case("HTTP/1.1 204 No Content\r\n{own}\r\n"; "204")]
 #[test_case("HTTP/1.1 101 Switching Protocols\r\n{own}connection: upgrade\r\nupgrade: x\r\n\r\n"; "101")]
 #[test_case(
     "HTTP/1.1 200 OK\r\n{own}content-type: text/html\r\ncontent-length: 7\r\n\r\n<html\n\n"; "html"
@@ -148,6 +149,9 @@
     "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\ncontent-encoding: gzip\r\n\
      content-length: 15\r\n\r\nid: 4\ndata: x\n\n"; "a content encoding"
 )]
+#[test_case(
+    "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\n\r\n"; "nothing before the close"
+)]
 #[test_case("HTTP/1.1 200 OK\r\n{own}content-type: text/ev"; "half a head")]
 #[test_case("HTTP/1.1 200 OK\r\n"; "a status line")]
 #[test_case("<html>error</html>\r\n\r\n"; "no response")]
