Do not follow redirects of engines and services

The daemon's clients followed redirects. An engine or service that answered 307 got the call once more, or another address did: a call that must run at most once could run up to eleven times, and the caller of a service never saw the redirect.

Redirects are off for both clients. The response of a service is passed on, and one of an engine rejects the attempt.

Before: an upstream that redirects to itself received eleven requests for one call and for one model request. After: one each.

--- a/limpetkeeld/src/engine.rs
+++ b/limpetkeeld/src/engine.rs
@@ -225,6 +225,8 @@
             .local_address(source)
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
+            // Following a redirect would send the request once more.
+            .redirect(reqwest::redirect::Policy::none())
             .build()?;
         Ok(Client { http, poll_bytes })
     }
--- a/limpetkeeld/src/service.rs
+++ b/limpetkeeld/src/service.rs
@@ -69,6 +69,8 @@
             .local_address(source)
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
+            // Following a redirect would send the request once more.
+            .redirect(reqwest::redirect::Policy::none())
             // Connections are not reused: an idle connection can break after the request was
             // written, while a new one that fails to connect shows that nothing was sent.
             .pool_max_idle_per_host(0)
--- a/limpetkeeld/tests/upstream.rs
+++ b/limpetkeeld/tests/upstream.rs
@@ -1,8 +1,9 @@
 //! Connections to upstreams.
 
-use std::{net, time};
+use std::{net, sync, time};
 
-use limpetkeeld::relay::upstream;
+use limpetkeeld::{engine, relay::upstream, service};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 /// The users' limit on how long memory may stay reserved without a request.
 const MAX_UNUSED_RESERVATION_TIME: time::Duration = time::Duration::from_secs(4);
@@ -28,3 +29,72 @@
         "{detection_time:?}"
     );
 }
+
+/// The requests that a redirecting upstream received.
+type ReceivedCount = sync::Arc<sync::atomic::AtomicUsize>;
+
+/// Starts an upstream that redirects every request to itself, and counts the requests.
+async fn start_redirecting_upstream() -> (net::SocketAddr, ReceivedCount) {
+    let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("listener");
+    let address = listener.local_addr().expect("address");
+    let received = ReceivedCount::default();
+    let counter = received.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            if stream.read(&mut buf).await.is_ok_and(|count| count > 0) {
+                counter.fetch_add(1, sync::atomic::Ordering::Relaxed);
+            }
+            let response = "HTTP/1.1 307 Moved\r\nlocation: /\r\nconnection: close\r\n\
+                            content-length: 0\r\n\r\n";
+            let _ = stream.write_all(response.as_bytes()).await;
+        }
+    });
+    (address, received)
+}
+
+#[tokio::test]
+async fn a_redirect_does_not_run_a_call_once_more() {
+    let (address, received) = start_redirecting_upstream().await;
+    let client = service::Client::new(net::Ipv4Addr::LOCALHOST.into()).expect("client");
+    let target = limpetkeel::UpstreamAddress {
+        upstream: "service-a".try_into().expect("name"),
+        address,
+    };
+    let call = service::Call {
+        method: http::Method::POST,
+        path: "/orders".to_owned(),
+        headers: http::HeaderMap::new(),
+        body: bytes::Bytes::from_static(b"order"),
+    };
+    let response = client.call(&target, &call).await;
+    assert_eq!(received.load(sync::atomic::Ordering::Relaxed), 1);
+    assert_eq!(response.expect("response").status, 307);
+}
+
+#[tokio::test]
+async fn a_redirect_does_not_run_a_model_request_once_more() {
+    let (address, received) = start_redirecting_upstream().await;
+    let poll_bytes = prometheus::IntCounter::new("poll_bytes", "poll bytes").expect("counter");
+    let source = net::Ipv4Addr::LOCALHOST.into();
+    let client = engine::Client::new(source, poll_bytes).expect("client");
+    let target = limpetkeel::UpstreamAddress {
+        upstream: "engine-a".try_into().expect("name"),
+        address,
+    };
+    let submission = engine::Submission {
+        path: "/v1/completions",
+        id: limpetkeel::RequestId(1),
+        attempt: 1,
+        resume_from: 0,
+        rank: limpetkeel::Rank::Normal,
+        long_prompt: false,
+        group_size: 1,
+        body: bytes::Bytes::from_static(b"{}"),
+    };
+    let error = client.submit(&target, &submission).await.err();
+    assert_eq!(received.load(sync::atomic::Ordering::Relaxed), 1);
+    assert_eq!(error, Some(engine::Error::Rejected(307)));
+}
