Derive the steps of a drain from one schedule bounded by its timeout

What callers saw: a request that came 3.08 s after SIGTERM was taken and could not be finished. Cause: three constants unrelated to each other and to the drain timeout. A request of any length was taken until 2.9 s after the signal was handled, so a signal handled 0.1 s late exceeded the 3 s of the users, and with a drain timeout below 3.5 s the process was killed while it still accepted connections. Evidence: a_daemon_with_a_short_drain_timeout_stops_before_it_is_killed, 2 s, on the code before: the process ended after 3.508357378s Change: DrainSchedule derives the times from the readiness check interval (1 s, two misses), the duration of a check (0.5 s) and the delay of a signal (0.2 s): a request that may outlast the drain is taken until 2.5 s, connections until 3.3 s as before, and neither beyond the end of requests. A test case changes: 2.8 s after the handling is not within the users' limit if the signal was handled 0.2 s late. It is refused now, and 2.4 s takes its place. every_step_of_a_drain_comes_before_its_timeout checks five timeouts in place of the one of the_shortest_drain_timeout_leaves_time_for_requests_and_responses.

--- a/limpetkeel/src/instance.rs
+++ b/limpetkeel/src/instance.rs
@@ -8,10 +8,6 @@
 /// A draining instance accepts requests for this long, so that load balancers can react.
 pub const DRAINING_GRACE: unit::Millis = unit::Millis(2_000);
 
-/// How long a draining instance takes requests that it may not be able to finish. Load balancers
-/// need this long to stop sending requests, and refusing all of those would affect many callers.
-const UNFINISHED_GRACE: unit::Millis = unit::Millis(2_900);
-
 /// The instance waits for tables and for the upstream list.
 #[derive(Debug)]
 pub struct Joining(());
@@ -111,19 +107,6 @@
         now.since(self.state.since) < DRAINING_GRACE
     }
 
-    /// Returns `true` if the instance takes a request that arrives now. Once load balancers have had
-    /// time to react, a request that may last beyond the drain timeout is refused, since it would be
-    /// cut off.
-    pub fn takes_request(
-        &self,
-        now: unit::Timestamp,
-        deadline: unit::Timestamp,
-        drain_timeout: unit::Millis,
-    ) -> bool {
-        now.since(self.state.since) < UNFINISHED_GRACE
-            || deadline <= self.schedule(drain_timeout).requests_end()
-    }
-
     /// Stops the instance if [`DRAINING_GRACE`] has passed and no request is in progress.
     ///
     /// # Errors
@@ -202,9 +185,9 @@
     ) -> bool {
         match self {
             InstanceState::Joining(_) | InstanceState::Live(_) => true,
-            InstanceState::Draining(instance) => {
-                instance.takes_request(now, deadline, drain_timeout)
-            }
+            InstanceState::Draining(instance) => instance
+                .schedule(drain_timeout)
+                .takes_request(now, deadline),
             InstanceState::Stopped(_) => false,
         }
     }
--- a/limpetkeel/tests/instance.rs
+++ b/limpetkeel/tests/instance.rs
@@ -15,7 +15,8 @@
 }
 
 #[test_case(0, 10_000, true; "load balancers still send requests")]
-#[test_case(2_800, 10_000, true; "within the time that load balancers need")]
+#[test_case(2_400, 10_000, true; "within the time that load balancers need")]
+#[test_case(2_800, 10_000, false; "within the users' limit if the signal was handled 200 ms late")]
 #[test_case(3_017, 10_000, false; "a late request that may be cut off")]
 #[test_case(3_017, 4_900, false; "a late request that ends too late for its response to be written")]
 #[test_case(3_017, 4_400, true; "a late request that ends in time")]
@@ -51,12 +52,18 @@
     );
 }
 
-#[test]
-fn the_shortest_drain_timeout_leaves_time_for_requests_and_responses() {
-    let schedule = DrainSchedule::new(SINCE, Millis(1_000));
-    assert!(SINCE < schedule.requests_end());
+#[test_case(1_000)]
+#[test_case(2_000)]
+#[test_case(3_000)]
+#[test_case(8_000)]
+#[test_case(600_000)]
+fn every_step_of_a_drain_comes_before_its_timeout(drain_timeout: u64) {
+    let schedule = DrainSchedule::new(SINCE, Millis(drain_timeout));
+    assert!(SINCE < schedule.load_balancers_react());
+    assert!(schedule.load_balancers_react() <= schedule.accepts_connections_until());
+    assert!(schedule.accepts_connections_until() <= schedule.requests_end());
     assert!(schedule.requests_end() < schedule.stop());
-    assert!(schedule.stop() < SINCE.after(Millis(1_000)));
+    assert!(schedule.stop() < SINCE.after(Millis(drain_timeout)));
 }
 
 #[test]
--- a/limpetkeeld/src/relay/drain.rs
+++ b/limpetkeeld/src/relay/drain.rs
@@ -7,10 +7,6 @@
 
 use crate::relay::{request_summary, shared};
 
-/// Time to keep accepting connections after readiness starts to fail. Load balancers need up to two
-/// checks, one second apart, plus the duration of a check to notice.
-const ACCEPT_GRACE: time::Duration = time::Duration::from_millis(3_300);
-
 /// Interval between checks for requests in progress.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -67,7 +63,8 @@
         drain_timeout_ms = shared.settings.drain_timeout.0,
         in_progress = shared.requests.lock().in_progress.len(),
     );
-    tokio::time::sleep(ACCEPT_GRACE).await;
+    let accept_until = schedule.accepts_connections_until();
+    tokio::time::sleep_until(shared.clock.instant(accept_until)).await;
     shared.closing.cancel();
     while !shared.requests.lock().in_progress.is_empty() && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/standins/tests/drain.rs
+++ b/standins/tests/drain.rs
@@ -183,3 +183,15 @@
     assert_eq!(streamed, upstream::complete_stream());
     wait_exited(&mut deployment).await;
 }
+
+#[tokio::test]
+async fn a_daemon_with_a_short_drain_timeout_stops_before_it_is_killed() {
+    let drain_timeout = time::Duration::from_secs(2);
+    let mut deployment = Deployment::start_with_drain_timeout(1, 1, drain_timeout)
+        .await
+        .expect("deployment");
+    let signalled = terminate(&deployment);
+    wait_exited(&mut deployment).await;
+    let elapsed = signalled.elapsed();
+    assert!(elapsed < drain_timeout, "{elapsed:?}");
+}
