Keep what upstreams say about further requests, and plan without them

An upstream may say in a response that it is leaving, or ask for no requests for some time. The instance that got the response is bound by it, whatever the store lists, but `PlanRequest::excluded_upstreams` is only a preference: with one upstream left, the planner uses it again.

- `UpstreamAvailability` holds the paused and the leaving processes by name and start time.
Without another upstream the plan is refused with `Error::UpstreamsUnavailable`.

--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -145,6 +145,8 @@
     CallerDisconnected,
     /// A worker stopped before it completed the request.
     WorkerStopped,
+    /// Every upstream of the pool is leaving or has asked for no requests for some time.
+    UpstreamsUnavailable(name::PoolName),
 }
 
 /// A validation rule for the fields of a declaration.
@@ -213,6 +215,7 @@
             Error::RetryBudgetExhausted => "retry_budget_exhausted",
             Error::CallerDisconnected => "caller_gone",
             Error::WorkerStopped => "worker_stopped",
+            Error::UpstreamsUnavailable(_) => "upstreams_unavailable",
         }
     }
 
@@ -244,6 +247,7 @@
             | Error::KeeperUnreachable
             | Error::StoreUnavailable
             | Error::UpstreamRefused
+            | Error::UpstreamsUnavailable(_)
             | Error::WorkerStopped => Category::Unavailable,
             Error::UpstreamFailed
             | Error::UpstreamRejected(_)
@@ -332,6 +336,9 @@
             Error::RetryBudgetExhausted => f.write_str("the retry budget is spent"),
             Error::CallerDisconnected => f.write_str("the caller closed its connection"),
             Error::WorkerStopped => f.write_str("a worker stopped before it answered"),
+            Error::UpstreamsUnavailable(pool) => {
+                write!(f, "no upstream of pool {pool} accepts requests now")
+            }
         }
     }
 }
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -67,6 +67,7 @@
 mod throughput;
 mod unit;
 mod upstream;
+mod upstream_availability;
 mod upstream_list;
 mod upstream_registry;
 mod workspace;
@@ -134,6 +135,7 @@
 pub use table::{Declarations, TableChange, Tables};
 pub use unit::{Bytes, HexId, Millicores, Millis, Timestamp, Tokens, TokensPerSecond};
 pub use upstream::{Capacity, HOLD_LIFETIME, LoadReport, ORPHAN_GRACE, RunningRequest, Upstream};
+pub use upstream_availability::{MAX_PAUSE, UpstreamAvailability, UpstreamProcess};
 pub use upstream_list::{Entry as UpstreamListEntry, UpstreamList};
 pub use upstream_registry::{
     Entry as UpstreamRegistryEntry, Removal, UpstreamRegistry, UpstreamState,
--- a/limpetkeel/src/lock.rs
+++ b/limpetkeel/src/lock.rs
@@ -22,6 +22,8 @@
     RunOnce = 5,
     /// The byte budget of queued request bodies and the retry budgets.
     Budgets = 6,
+    /// The upstreams that accept no requests from this instance.
+    UpstreamAvailability = 7,
 }
 
 thread_local! {
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -19,8 +19,11 @@
     pub objective: ingress::LatencyObjective,
     /// The time until the deadline. It is a duration since instances do not share a clock.
     pub remaining: unit::Millis,
-    /// The upstreams that failed or declined the request.
+    /// The upstreams that failed or declined the request. They are used only if no other one is
+    /// left.
     pub excluded_upstreams: Vec<name::UpstreamName>,
+    /// The upstreams that accept no requests from the instance. They are never used.
+    pub unavailable_upstreams: Vec<name::UpstreamName>,
 }
 
 /// An engine that prefills a part of a prompt for the lead.
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -126,6 +126,7 @@
     /// # Errors
     ///
     /// Returns [`error::Error::NoUpstream`] if the pool has no upstream,
+    /// [`error::Error::UpstreamsUnavailable`] if the request may use none of them,
     /// [`error::Error::PromptTooLong`] if the prompt exceeds the plannable memory of the pool,
     /// [`error::Error::NoMemory`] if its parts do not fit into the free memory,
     /// [`error::Error::NoHelper`] if no engine accepts a part of it,
@@ -180,7 +181,7 @@
         request: &plan::PlanRequest,
         isolation: screening::Isolation,
     ) -> error::Result<plan::Plan> {
-        self.resize_prefill_set(now, timing, &request.availability_zone);
+        self.resize_prefill_set(now, timing, request);
         let cost = |upstream: &upstream::Upstream| {
             let cost = upstream.estimate(now, timing, request.size);
             let in_prefill_set = self.prefill_set.contains(upstream.name());
@@ -201,7 +202,7 @@
         let lead = self
             .candidates(now, request)
             .min_by(|a, b| cost(a).total_cmp(&cost(b)))
-            .ok_or_else(|| error::Error::NoUpstream(self.pool.clone()))?;
+            .ok_or_else(|| self.no_candidate())?;
         // The penalties in the cost are preferences and do not delay the response.
         let estimate = lead.estimate(now, timing, request.size);
         if estimate > request.remaining.0 as f64 * MAX_DEADLINE_FRACTION {
@@ -215,28 +216,31 @@
         })
     }
 
-    /// Resizes the prefill set, counting only the engines that requests from `zone` can reach.
+    /// Resizes the prefill set, counting only the engines that the request can reach and may use.
     fn resize_prefill_set(
         &mut self,
         now: unit::Timestamp,
         timing: Option<&engine::EngineTiming>,
-        zone: &name::AvailabilityZoneName,
+        request: &plan::PlanRequest,
     ) {
         let Some(timing) = timing else {
             return;
         };
         let health = &self.health;
+        let zone = &request.availability_zone;
         let reachable = prefill_set::ReachableUpstreams {
             upstreams: &self.upstreams,
-            is_reachable: &|upstream| health.is_reliable(now, zone, upstream),
+            is_reachable: &|upstream| {
+                is_available(request, upstream) && health.is_reliable(now, zone, upstream)
+            },
         };
         self.prefill_set.resize(now, timing, &reachable);
     }
 
-    /// Returns the reachable upstreams that the request has not tried yet.
+    /// Returns the available and reachable upstreams that the request has not tried yet.
     ///
-    /// If every reachable upstream has been tried, returns all reachable ones. If none is
-    /// reachable, reachability is ignored.
+    /// If every such upstream has been tried, returns all of them. If none is reachable,
+    /// reachability is ignored. Unavailable upstreams are never returned.
     fn candidates<'a>(
         &'a self,
         now: unit::Timestamp,
@@ -247,16 +251,26 @@
             move |upstream: &&upstream::Upstream| self.health.is_reachable(now, zone, upstream);
         let untried =
             |upstream: &&upstream::Upstream| !request.excluded_upstreams.contains(upstream.name());
-        let any_untried = self
-            .upstreams
-            .values()
+        let available = self.upstreams.values();
+        let available = available.filter(|upstream| is_available(request, upstream));
+        let any_untried = available
+            .clone()
             .any(|upstream| reachable(&upstream) && untried(&upstream));
-        let any_reachable = self.upstreams.values().any(|upstream| reachable(&upstream));
-        self.upstreams.values().filter(move |upstream| {
+        let any_reachable = available.clone().any(|upstream| reachable(&upstream));
+        available.filter(move |upstream| {
             (!any_reachable || reachable(upstream)) && (!any_untried || untried(upstream))
         })
     }
 
+    /// Returns the error for a request without candidates.
+    fn no_candidate(&self) -> error::Error {
+        if self.upstreams.is_empty() {
+            error::Error::NoUpstream(self.pool.clone())
+        } else {
+            error::Error::UpstreamsUnavailable(self.pool.clone())
+        }
+    }
+
     /// Returns the cost of an upstream for its failures and its availability zone, in milliseconds.
     fn failure_and_zone_cost(
         &self,
@@ -284,3 +298,8 @@
         }
     }
 }
+
+/// Returns `true` if the request may use an upstream.
+fn is_available(request: &plan::PlanRequest, upstream: &upstream::Upstream) -> bool {
+    !request.unavailable_upstreams.contains(upstream.name())
+}
--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -37,7 +37,7 @@
     ) -> error::Result<plan::Plan> {
         let prompt = request.size.prompt;
         self.prefill_set.add_demand(now, timing.prefill_ms(prompt));
-        self.resize_prefill_set(now, Some(timing), &request.availability_zone);
+        self.resize_prefill_set(now, Some(timing), request);
         let usable_memory = timing.memory().percent(USABLE_MEMORY_PERCENT);
         let (lead, fits) = self.choose_lead(now, timing, request, usable_memory, isolation)?;
         let candidates = self.helper_candidates(now, &lead, request)?;
@@ -105,7 +105,7 @@
         self.candidates(now, request)
             .min_by(|a, b| cost(a).total_cmp(&cost(b)))
             .map(|lead| (lead.address(), fits(lead)))
-            .ok_or_else(|| error::Error::NoUpstream(self.pool.clone()))
+            .ok_or_else(|| self.no_candidate())
     }
 
     /// Chooses the engines that reserve memory for a prompt that does not fit into the memory of its
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -372,6 +372,7 @@
             objective,
             remaining: relayed.deadline().since(now),
             excluded_upstreams: relayed.tried_upstreams().to_vec(),
+            unavailable_upstreams: Vec::new(),
         };
         let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
             Ok(planned) => return Ok(planned),
