Send nothing more to an upstream that says that it is leaving

An upstream that is about to stop says so in all its responses (`Server-Leaving: 1`), often before the store lists it as draining or without ever doing so. The instance forwarded such responses and went on sending requests there.

Every response whose head arrives now updates `UpstreamAvailability` before anything else is decided about it, unless it carries the ID of another request. A plan is checked again before memory is reserved and before the request is sent, since an upstream may have spoken in between; then the request is planned again, as after a failed connection and within the same limit.

--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -34,6 +34,8 @@
     pub store_calls: prometheus::IntCounterVec,
     /// Store entries that could not be parsed.
     pub unreadable_entries: prometheus::IntCounter,
+    /// Upstreams that said that they accept no requests for now or any longer, by reason.
+    pub unavailable_upstreams: prometheus::IntCounterVec,
     /// Memory reservations on engines, by result.
     pub reservations: prometheus::IntCounterVec,
     /// Log lines dropped because the log queue was full.
@@ -111,6 +113,11 @@
                 "limpetkeel_relay_unreadable_entries_total",
                 "Entries of the store that could not be read.",
             )?,
+            unavailable_upstreams: registrar.counter_vec(
+                "limpetkeel_relay_unavailable_upstreams_total",
+                "Upstreams that said that they accept no requests, by reason.",
+                &["reason"],
+            )?,
             dropped_log_lines: registrar.gauge(
                 "limpetkeel_log_lines_left_out",
                 "Log lines left out since the start because their queue was full.",
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -2,15 +2,19 @@
 //!
 //! [`front`] accepts a request and matches it to a route, and [`drive`] carries it to its end:
 //! [`planning`] obtains a plan from the pool's planner, [`reservations`] reserves memory on the
-//! helper engines, [`attempt`] makes one attempt over one connection of [`upstream`], and
-//! [`stream`] forwards an event stream to the caller through [`response_writer`].
-//! [`request_summary`] logs the result. [`store_watch`] receives table changes from the store, a
-//! watcher or a peer, [`store_updates`] applies them, [`quarantine`] writes the quarantines
-//! of the local planners to the store, and [`register`] keeps the local instance registered there. [`reload`] rereads the settings, and [`drain`] shuts the instance down.
+//! helper engines, [`attempt`] makes one attempt over one connection of [`upstream`],
+//! [`availability`] keeps what its response says about further requests, and [`stream`] forwards an
+//! event stream to the caller through [`response_writer`]. [`request_summary`] logs the result.
+//!
+//! [`store_watch`] receives table changes from the store, a watcher or a peer, [`store_updates`]
+//! applies them, [`quarantine`] writes the quarantines of the local planners to the store, and
+//! [`register`] keeps the local instance registered there. [`reload`] rereads the settings, and
+//! [`drain`] shuts the instance down.
 //!
 //! Wire formats are confined to implementations of the traits in [`port`].
 
 pub mod attempt;
+pub mod availability;
 pub mod body;
 pub mod caller_request;
 pub mod daemon;
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -6,7 +6,8 @@
 use limpetkeel::{Millis, RelayedRequest, ResponseForm, RetryPolicy, Sent, UpstreamName};
 
 use crate::relay::{
-    caller_request, drain, planning, port, response_writer, retry_budget, shared, stream, upstream,
+    availability, caller_request, drain, planning, port, response_writer, retry_budget, shared,
+    stream, upstream,
 };
 
 /// Maximum size of a complete response body, in bytes. Complete responses are buffered.
@@ -159,6 +160,7 @@
     let timeout = response_timeout(request, remaining, relayed.plan().estimate, last);
     let response_deadline = tokio::time::Instant::now() + timeout;
     let req = build_request(shared, request, relayed, context.helpers, remaining);
+    let process = availability::process_at(shared, &relayed.info().pool, &relayed.plan().lead);
     let sent = tokio::time::timeout_at(response_deadline, context.connection.send(req)).await;
     let mut response = sent
         .map_err(|_| Failure::Failed(Cause::TimedOut))?
@@ -175,6 +177,11 @@
         .id
         .as_deref()
         .map(|id| id == &*request.head.id);
+    if let Some(process) = process
+        && own_id != Some(false)
+    {
+        availability::record_response(shared, &process, &response_head);
+    }
     // A decline may come without an ID. With another ID it says nothing about this request.
     if response_head.declined && own_id != Some(false) {
         let at_fault = response_head.at_fault.as_deref();
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::relay::{
-    attempt, caller_request, drain, exchange, planning, request_summary, reservations,
-    response_writer, retry_budget, shared, stream, upstream,
+    attempt, availability, caller_request, drain, exchange, planning, request_summary,
+    reservations, response_writer, retry_budget, shared, stream, upstream,
 };
 
 /// Number of failures to connect or to reserve memory after which a request is given up.
@@ -187,9 +187,9 @@
                 }
                 summary.record_attempt(&relayed);
             }
-            Err((at_fault, attempt_result)) => {
-                plan_guard.record_attempt_result(&at_fault, attempt_result);
-                record_failed_attempt(shared, request, &at_fault, "not_connected");
+            Err(failure) => {
+                plan_guard.record_attempt_result(&failure.at_fault, failure.attempt_result);
+                record_failed_attempt(shared, request, &failure.at_fault, failure.reason);
                 relayed = placed.into_unreachable();
                 failed_preparations += 1;
                 if failed_preparations >= MAX_FAILED_PREPARATIONS {
@@ -225,6 +225,14 @@
     connection: upstream::Connection,
 }
 
+/// The reason why a plan could not be used.
+struct PreparationFailure {
+    at_fault: UpstreamName,
+    attempt_result: AttemptResult,
+    /// The reason used in metrics and logs.
+    reason: &'static str,
+}
+
 /// Runs one attempt and reports its result to the planner.
 async fn run_attempt(
     shared: &sync::Arc<shared::Shared>,
@@ -372,7 +380,10 @@
             objective,
             remaining: relayed.deadline().since(now),
             excluded_upstreams: relayed.tried_upstreams().to_vec(),
-            unavailable_upstreams: Vec::new(),
+            unavailable_upstreams: availability::unavailable_upstreams(
+                shared,
+                &relayed.info().pool,
+            ),
         };
         let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
             Ok(planned) => return Ok(planned),
@@ -404,21 +415,44 @@
 ///
 /// # Errors
 ///
-/// Returns the upstream at fault and its attempt result. Nothing of the request has been sent by
-/// then.
+/// Returns the reason why the plan cannot be used. Nothing of the request has been sent by then.
 async fn prepare(
     shared: &sync::Arc<shared::Shared>,
     placed: &RelayedRequest<PlacedRelayedRequest>,
-) -> Result<(reservations::HelperGroup, upstream::Connection), (UpstreamName, AttemptResult)> {
+) -> Result<(reservations::HelperGroup, upstream::Connection), PreparationFailure> {
     let plan = placed.plan();
+    check_available(shared, plan)?;
     let reserving = reservations::HelperGroup::reserve(shared, plan.id, &plan.helpers);
     let connecting = upstream::Connection::open(plan.lead.address);
     let (group, connection) = tokio::join!(reserving, connecting);
+    let failure = |at_fault, attempt_result| PreparationFailure {
+        at_fault,
+        attempt_result,
+        reason: "not_connected",
+    };
     let connection =
-        connection.map_err(|_| (plan.lead.upstream.clone(), AttemptResult::Unreachable))?;
+        connection.map_err(|_| failure(plan.lead.upstream.clone(), AttemptResult::Unreachable))?;
     let group = group.map_err(|e| match e {
-        reservations::Error::Refused(name) => (name, AttemptResult::Declined),
-        reservations::Error::NoResponse(name) => (name, AttemptResult::Unreachable),
+        reservations::Error::Refused(name) => failure(name, AttemptResult::Declined),
+        reservations::Error::NoResponse(name) => failure(name, AttemptResult::Unreachable),
     })?;
+    check_available(shared, plan)?;
     Ok((group, connection))
 }
+
+/// Checks that all upstreams of a plan accept requests from this instance.
+///
+/// # Errors
+///
+/// Returns the first upstream that has said otherwise. This is no news to the planner's health
+/// records, since other instances may still use the upstream.
+fn check_available(shared: &shared::Shared, plan: &Plan) -> Result<(), PreparationFailure> {
+    let Some(name) = availability::find_unavailable(shared, plan) else {
+        return Ok(());
+    };
+    Err(PreparationFailure {
+        at_fault: name.clone(),
+        attempt_result: AttemptResult::Inconclusive,
+        reason: "unavailable",
+    })
+}
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -5,7 +5,7 @@
 use limpetkeel::{
     BodyBudget, Contact, Ingress, InstanceName, InstanceRegistry, LockLevel, OrderedMutex, Planner,
     PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision,
-    StoreChangeLog, StoreFollower, Timestamp, UpstreamRegistry,
+    StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability, UpstreamRegistry,
 };
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -126,8 +126,10 @@
     pub body_budget: OrderedMutex<BodyBudget>,
     /// Lock order 5 (`LockLevel::RunOnce`). Never locked together with another table.
     retry_limit: OrderedMutex<RetryLimit>,
-    /// Lock order 6 (`LockLevel::Budgets`), the last.
+    /// Lock order 6 (`LockLevel::Budgets`).
     pub retry_windows: OrderedMutex<collections::BTreeMap<PoolName, RetryWindow>>,
+    /// Lock order 7 (`LockLevel::UpstreamAvailability`), the last.
+    pub availability: OrderedMutex<UpstreamAvailability>,
 }
 
 impl Shared {
@@ -175,6 +177,10 @@
             ),
             retry_limit: OrderedMutex::new(LockLevel::RunOnce, settings.retry_limit),
             retry_windows: OrderedMutex::new(LockLevel::Budgets, collections::BTreeMap::new()),
+            availability: OrderedMutex::new(
+                LockLevel::UpstreamAvailability,
+                UpstreamAvailability::default(),
+            ),
             settings,
         }
     }
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -372,6 +372,9 @@
     loop {
         tokio::time::sleep(PEER_INTERVAL).await;
         let now = shared.clock.now();
-        shared.tables.lock().upstreams.remove_expired(now);
+        let mut tables = shared.tables.lock();
+        tables.upstreams.remove_expired(now);
+        let mut availability = shared.availability.lock();
+        availability.remove_expired(now, &tables.upstreams);
     }
 }
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -23,6 +23,8 @@
 pub enum Behavior {
     /// Runs the request and responds.
     Normal,
+    /// Runs the request, responds, and states that it is leaving.
+    Leaving,
     /// Declines the request, and states that it did not run it.
     Decline,
     /// Responds like another upstream at the same address, which rejects the request with status
@@ -86,6 +88,8 @@
 #[derive(Debug, Default)]
 struct State {
     behavior: Option<Behavior>,
+    /// The number of restarts.
+    restarts: u64,
     received: Vec<ReceivedRequest>,
     /// The number of requests whose sender closed the connection before the response was complete.
     disconnects: usize,
@@ -135,6 +139,14 @@
         self.state.lock().behavior = Some(behavior);
     }
 
+    /// Restarts the upstream under its name and address. It behaves normally, and its next registry
+    /// entry has another start time.
+    pub fn restart(&self) {
+        let mut state = self.state.lock();
+        state.behavior = None;
+        state.restarts += 1;
+    }
+
     /// Returns the received requests, oldest first.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.state.lock().received.clone()
@@ -169,7 +181,8 @@
     ) -> deployment::Result<Vec<u8>> {
         let entry = serde_json::json!({
             "service": service, "address": self.address, "zone": zone, "version": "v1",
-            "slots": 6, "state": state, "cold_left_ms": 0, "seq_no": 4, "born": 1,
+            "slots": 6, "state": state, "cold_left_ms": 0, "seq_no": 4,
+            "born": 1 + self.state.lock().restarts,
         });
         Ok(serde_json::to_vec(&entry)?)
     }
@@ -237,6 +250,9 @@
         let not_run = format!("{}: 1\r\n", names::REQUEST_NOT_RUN);
         let response = self.encode_response(id, 200, "answer");
         let bytes = match behavior {
+            Behavior::Leaving => {
+                response.replace("\r\n\r\n", &format!("\r\n{}\r\n", leaving_header()))
+            }
             Behavior::Decline => format!("HTTP/1.1 503 Busy\r\n{not_run}content-length: 0\r\n\r\n"),
             Behavior::WrongUpstream => "HTTP/1.1 421 Other\r\ncontent-length: 0\r\n\r\n".to_owned(),
             Behavior::DropResponse => return Some(()),
@@ -282,9 +298,14 @@
         let after = request.headers.get(names::LAST_EVENT.as_str());
         let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
         let (id_header, signature_header) = (names::REQUEST_ID, names::RESPONSE_SIGNATURE);
+        let leaving = if behavior == Behavior::Leaving {
+            leaving_header()
+        } else {
+            String::new()
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{id_header}: {}\r\n{signature_header}: {}\r\n\
-             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n{leaving}\r\n",
             request.id, self.name,
         );
         stream.write_all(head.as_bytes()).await.ok()?;
@@ -333,12 +354,18 @@
         behavior,
         Behavior::Normal
             | Behavior::CrashOnPart(_)
+            | Behavior::Leaving
             | Behavior::CutAfter(_)
             | Behavior::HangAfter(_)
             | Behavior::GapAfterTwo(_)
     )
 }
 
+/// Encodes the header by which an upstream states that it is leaving.
+fn leaving_header() -> String {
+    format!("{}: 1\r\n", names::LEAVING)
+}
+
 /// Encodes a chunk of the chunked transfer coding.
 fn encode_chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
