Honor the Retry-After of upstreams that decline with 503

An upstream that declines a request with 503 may name the time for which it wants no requests from the instance. The instance took this for any other decline: it preferred other upstreams, and came back at once where there was none. Callers were told to return after 400 ms in any case.

The upstream is paused for that time in `UpstreamAvailability` and left out of plans and retries like one that is leaving. While all ready upstreams of a pool are paused or leaving, a request is refused at once, and its caller is told the shortest remaining pause, also where its own attempt began the pause.

--- a/limpetkeeld/src/relay/availability.rs
+++ b/limpetkeeld/src/relay/availability.rs
@@ -1,6 +1,6 @@
 //! Records what upstreams say about further requests, and checks plans against it.
 
-use limpetkeel::{Plan, PoolName, UpstreamAddress, UpstreamName, UpstreamProcess};
+use limpetkeel::{Millis, Plan, PoolName, UpstreamAddress, UpstreamName, UpstreamProcess};
 
 use crate::relay::{port, shared};
 
@@ -20,21 +20,31 @@
     process: &UpstreamProcess,
     response_head: &port::ResponseHead,
 ) {
-    if !response_head.leaving {
+    let retry_after = response_head.retry_after;
+    if !response_head.leaving && retry_after.is_none() {
         return;
     }
-    let is_new = {
+    let now = shared.clock.now();
+    let (is_leaving, is_paused) = {
         let tables = shared.tables.lock();
         let mut availability = shared.availability.lock();
-        availability.record_leaving(&tables.upstreams, process.clone())
+        let leaving = response_head.leaving;
+        (
+            leaving && availability.record_leaving(&tables.upstreams, process.clone()),
+            retry_after.is_some_and(|pause| {
+                availability.record_pause(now, &tables.upstreams, process.clone(), pause)
+            }),
+        )
     };
-    if is_new {
+    let reasons = [(is_leaving, "leaving"), (is_paused, "paused")];
+    for (_, reason) in reasons.into_iter().filter(|(is_new, _)| *is_new) {
         let unavailable = &shared.metrics.relay.unavailable_upstreams;
-        unavailable.with_label_values(&["leaving"]).inc();
+        unavailable.with_label_values(&[reason]).inc();
         tracing::info!(
             event = "upstream_unavailable",
             upstream = %process.name(),
-            reason = "leaving",
+            reason,
+            pause_ms = retry_after.map_or(0, |pause| pause.0),
         );
     }
 }
@@ -56,3 +66,14 @@
         .find(|engine| !availability.is_available(now, &engine.upstream))
         .map(|engine| &engine.upstream)
 }
+
+/// Returns how long every listed upstream of a pool wants no requests from this instance.
+///
+/// Returns `None` if an upstream accepts requests, or if no upstream has said when it does again.
+pub fn pool_pause(shared: &shared::Shared, pool: &PoolName) -> Option<Millis> {
+    let now = shared.clock.now();
+    let upstreams = shared.tables.lock().upstreams.ready_upstreams(pool);
+    let availability = shared.availability.lock();
+    let wait = availability.time_until_available(now, &upstreams);
+    wait.filter(|wait| *wait > Millis::ZERO)
+}
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -40,6 +40,7 @@
 impl ActiveRequest {
     async fn run(&mut self, relayed: RelayedRequest<Routed>) {
         let deadline = relayed.deadline();
+        let pool = relayed.info().pool.clone();
         let serving = serve(
             &self.shared,
             &self.request,
@@ -59,7 +60,7 @@
             }
             Ok(Completion::Abandoned) => return,
             Ok(Completion::Complete(response)) => response_writer::Response::Complete(response),
-            Err(reason) => self.summary.final_response(reason),
+            Err(reason) => self.summary.final_response(&self.shared, &pool, reason),
         };
         self.result = Some(request_summary::RequestResult::from_response(&response));
         self.writer.finish(response).await;
--- a/limpetkeeld/src/relay/request_summary.rs
+++ b/limpetkeeld/src/relay/request_summary.rs
@@ -2,12 +2,12 @@
 //! the middle of a step.
 
 use limpetkeel::{
-    Millis, NoRetryReason, Outcome, Plan, RelayedRequest, Routed, Timestamp, UpstreamName,
+    Millis, NoRetryReason, Outcome, Plan, PoolName, RelayedRequest, Routed, Timestamp, UpstreamName,
 };
 
-use crate::relay::{caller_request, port, response_writer, shared};
+use crate::relay::{availability, caller_request, port, response_writer, shared};
 
-/// Retry delay sent to a caller whose request did not run.
+/// Retry delay sent to a caller whose request did not run, unless the upstreams have named one.
 const RETRY_AFTER: Millis = Millis(400);
 
 /// The reason why a request ended without an upstream response.
@@ -147,8 +147,14 @@
     }
 
     /// Returns the response to a failed request: the upstream's error response if there is one,
-    /// otherwise a refusal for `reason`.
-    pub fn final_response(&mut self, reason: FailureReason) -> response_writer::Response {
+    /// otherwise a refusal for `reason`. The caller of a request that did not run is told when an
+    /// upstream of the pool accepts requests again, if none does now.
+    pub fn final_response(
+        &mut self,
+        shared: &shared::Shared,
+        pool: &PoolName,
+        reason: FailureReason,
+    ) -> response_writer::Response {
         if let Some(error) = self.upstream_error.take() {
             return response_writer::Response::Complete(error);
         }
@@ -157,7 +163,10 @@
             (false, FailureReason::PartHeldBack { retry_after }) => {
                 port::Refusal::NotRun(retry_after)
             }
-            (false, _) => port::Refusal::NotRun(RETRY_AFTER),
+            (false, _) => {
+                let pool_pause = availability::pool_pause(shared, pool);
+                port::Refusal::NotRun(pool_pause.unwrap_or(RETRY_AFTER))
+            }
             (
                 true,
                 FailureReason::DeadlineExceeded
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -25,8 +25,13 @@
     Normal,
     /// Runs the request, responds, and states that it is leaving.
     Leaving,
+    /// Runs the request, responds with the id of another request, and states that it is leaving.
+    LeavingWithWrongId,
     /// Declines the request, and states that it did not run it.
     Decline,
+    /// Declines the request, states that it did not run it, and asks for no requests for the given
+    /// number of milliseconds.
+    DeclineFor(u64),
     /// Responds like another upstream at the same address, which rejects the request with status
     /// 421.
     WrongUpstream,
@@ -215,7 +220,7 @@
         }
         request.body = body;
         request.ran = match behavior {
-            Behavior::Decline | Behavior::WrongUpstream => false,
+            Behavior::Decline | Behavior::DeclineFor(_) | Behavior::WrongUpstream => false,
             Behavior::Scripted(script) => !script.declines(),
             _ => true,
         };
@@ -250,10 +255,16 @@
         let not_run = format!("{}: 1\r\n", names::REQUEST_NOT_RUN);
         let response = self.encode_response(id, 200, "answer");
         let bytes = match behavior {
-            Behavior::Leaving => {
-                response.replace("\r\n\r\n", &format!("\r\n{}\r\n", leaving_header()))
+            Behavior::Leaving => add_leaving_header(&response),
+            Behavior::LeavingWithWrongId => {
+                add_leaving_header(&self.encode_response("another", 200, "not yours"))
             }
             Behavior::Decline => format!("HTTP/1.1 503 Busy\r\n{not_run}content-length: 0\r\n\r\n"),
+            Behavior::DeclineFor(ms) => format!(
+                "HTTP/1.1 503 Busy\r\n{not_run}retry-after: {}.{:03}\r\ncontent-length: 0\r\n\r\n",
+                ms / 1_000,
+                ms % 1_000
+            ),
             Behavior::WrongUpstream => "HTTP/1.1 421 Other\r\ncontent-length: 0\r\n\r\n".to_owned(),
             Behavior::DropResponse => return Some(()),
             Behavior::MalformedResponse => "\u{1}\u{2} this is no answer\r\n\r\n".to_owned(),
@@ -366,6 +377,11 @@
     format!("{}: 1\r\n", names::LEAVING)
 }
 
+/// Adds the header to a response.
+fn add_leaving_header(response: &str) -> String {
+    response.replacen("\r\n\r\n", &format!("\r\n{}\r\n", leaving_header()), 1)
+}
+
 /// Encodes a chunk of the chunked transfer coding.
 fn encode_chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
--- a/standins/tests/availability.rs
+++ b/standins/tests/availability.rs
@@ -188,3 +188,92 @@
         assert!(!helpers.iter().any(|names| names.contains(&address)));
     }
 }
+
+#[tokio::test]
+async fn a_response_to_another_request_says_nothing_about_the_upstream() {
+    let deployment = Deployment::start(1, 1).await.expect("deployment");
+    deployment.upstreams[0].set_behavior(Behavior::LeavingWithWrongId);
+    let req = deployment.request(0, "POST", "/book/x", "id1");
+    assert_eq!(deployment.send(req).await.expect("response").status, 502);
+    deployment.upstreams[0].set_behavior(Behavior::Normal);
+    assert_eq!(get(&deployment, 0, "id2").await.status, 200);
+}
+
+/// The pause for which an upstream asks in these tests, in milliseconds.
+const PAUSE_MS: u64 = 2_000;
+
+/// Returns the retry delay of a refusal.
+fn retry_after(response: &CallerResponse) -> time::Duration {
+    let seconds = response.retry_after.as_deref().expect("retry-after");
+    time::Duration::from_secs_f64(seconds.parse().expect("seconds"))
+}
+
+#[tokio::test]
+async fn a_paused_upstream_is_used_again_after_its_time() {
+    let deployment = Deployment::start(1, 2).await.expect("deployment");
+    let paused = &deployment.upstreams[0];
+    paused.set_behavior(Behavior::DeclineFor(PAUSE_MS));
+    let sent = time::Instant::now();
+    let response = get(&deployment, 0, "first").await;
+    assert_eq!(response.signed_by.as_deref(), Some("u1"), "retried");
+    paused.set_behavior(Behavior::Normal);
+    daemon::wait_until("the upstream is used again", async || {
+        // More requests than the other upstream has slots for.
+        let requests = (0..10).map(|_| deployment.get_status(0, "/look/x"));
+        let statuses = futures_util::future::join_all(requests).await;
+        assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+        paused.received().len() > 1
+    })
+    .await
+    .expect("used");
+    let elapsed = sent.elapsed();
+    assert!(elapsed.as_millis() as u64 >= PAUSE_MS, "{elapsed:?}");
+}
+
+#[test_case("GET", "/look/x"; "that may be retried")]
+#[test_case("POST", "/book/x"; "that is sent once")]
+#[test_case("POST", "/stream/x"; "for a stream")]
+#[tokio::test]
+async fn a_request_is_refused_at_once_while_every_upstream_is_paused(method: &str, path: &str) {
+    let deployment = Deployment::start(1, 1).await.expect("deployment");
+    let upstream = &deployment.upstreams[0];
+    upstream.set_behavior(Behavior::DeclineFor(PAUSE_MS));
+    let first_sent = time::Instant::now();
+    let earliest_end = first_sent + time::Duration::from_millis(PAUSE_MS);
+    let mut attempt = 0;
+    let response = loop {
+        let started = time::Instant::now();
+        let req = deployment.request(0, method, path, &format!("id{attempt}"));
+        let response = deployment.send(req).await.expect("response");
+        assert!(started.elapsed() < IMMEDIATELY, "{:?}", started.elapsed());
+        upstream.set_behavior(Behavior::Normal);
+        if response.status != 503 {
+            break response;
+        }
+        assert_eq!(upstream.received().len(), 1, "only the first request");
+        let delay = retry_after(&response);
+        assert!(
+            time::Instant::now() + delay >= earliest_end,
+            "attempt {attempt} is told to return too early, in {delay:?}"
+        );
+        attempt += 1;
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    };
+    assert_eq!(response.status, 200);
+    assert!(time::Instant::now() >= earliest_end);
+    assert_eq!(upstream.received().len(), 2);
+}
+
+#[tokio::test]
+async fn callers_are_told_the_shortest_pause_of_all_upstreams() {
+    let deployment = Deployment::start(1, 2).await.expect("deployment");
+    deployment.upstreams[0].set_behavior(Behavior::DeclineFor(30_000));
+    deployment.upstreams[1].set_behavior(Behavior::DeclineFor(20_000));
+    for number in 0..3 {
+        let response = get(&deployment, 0, &format!("id{number}")).await;
+        assert_eq!(response.status, 503);
+        let delay = retry_after(&response).as_secs_f64();
+        assert!((10.0..=20.0).contains(&delay), "{delay}");
+    }
+    assert_eq!(received_counts(&deployment), [1, 1]);
+}
