Describe the screening of parts and split the planning module

A quarantine that is taken from the list is logged once, as quarantine_listed, and not as a decision of the planner too. Tests: prompt_parts 2 passed, quarantine 9, relay 37, reserve 4, part_screening 21, planner_screening 14.

--- a/limpetkeel/src/part_screening.rs
+++ b/limpetkeel/src/part_screening.rs
@@ -65,7 +65,7 @@
     Quarantined,
     /// An upstream responded to a request with the part.
     Cleared,
-    /// The evidence against the part expired, or its quarantine was lifted by another instance.
+    /// The evidence against the part or its quarantine expired, or made room for other parts.
     Expired,
 }
 
@@ -210,9 +210,7 @@
             .map(|(part, _)| *part)
             .collect();
         for part in withdrawn {
-            if let Some(screened) = self.parts.remove(&part) {
-                self.record_decision(part, &screened, PartDecisionKind::Expired);
-            }
+            self.parts.remove(&part);
         }
         for quarantine in quarantines {
             let lifted = self.lifted.get(&quarantine.part);
@@ -221,14 +219,8 @@
             }
             self.lifted.remove(&quarantine.part);
             let known = self.parts.remove(&quarantine.part);
-            let is_new = known
-                .as_ref()
-                .is_none_or(|screened| !screened.is_quarantined());
             let screened = screened_part::ScreenedPart::listed(now, known, quarantine.crashes);
-            if is_new {
-                self.record_decision(quarantine.part, &screened, PartDecisionKind::Quarantined);
-                self.evict();
-            }
+            self.evict();
             self.parts.insert(quarantine.part, screened);
         }
     }
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -1,10 +1,11 @@
 //! Relays requests to any upstream service without interpreting their bodies.
 //!
 //! [`front`] accepts a request and matches it to a route, and [`drive`] carries it to its end:
-//! [`planning`] obtains a plan from the pool's planner, [`reservations`] reserves memory on the
-//! helper engines, [`attempt`] makes one attempt over one connection of [`upstream`],
-//! [`availability`] keeps what its response says about further requests, and [`stream`] forwards an
-//! event stream to the caller through [`response_writer`]. [`request_summary`] logs the result.
+//! [`planning`] obtains a plan from the pool's planner, which is the [`local_planner`] of one
+//! instance, [`reservations`] reserves memory on the helper engines, [`attempt`] makes one attempt
+//! over one connection of [`upstream`], [`availability`] keeps what its response says about further
+//! requests, and [`stream`] forwards an event stream to the caller through [`response_writer`].
+//! [`request_summary`] logs the result.
 //!
 //! [`store_watch`] receives table changes from the store, a watcher or a peer, [`store_updates`]
 //! applies them, [`quarantine`] writes the quarantines of the local planners to the store, and
@@ -24,6 +25,7 @@
 pub mod exchange;
 pub mod front;
 pub mod jobs;
+pub mod local_planner;
 pub mod peer_handler;
 pub mod planning;
 pub mod port;
--- a/limpetkeeld/src/relay/worker.rs
+++ b/limpetkeeld/src/relay/worker.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::{Mutex, mpsc};
 
-use crate::relay::{jobs, planning, shared, store_updates};
+use crate::relay::{jobs, local_planner, shared, store_updates};
 
 /// Spawns the workers.
 pub fn start(shared: &sync::Arc<shared::Shared>, rx: mpsc::Receiver<jobs::Job>) {
@@ -28,13 +28,15 @@
                 plan_request,
                 result_tx,
             } => {
-                let planned = planning::plan_locally(&shared, &plan_request);
+                let planned = local_planner::plan_locally(&shared, &plan_request);
                 if let Err(Ok(plan)) = result_tx.send(planned) {
                     // The requester has stopped waiting for the plan.
-                    planning::discard_plan(&shared, &plan_request, &plan);
+                    local_planner::discard_plan(&shared, &plan_request, &plan);
                 }
             }
-            jobs::Job::ApplyPlanReport(report) => planning::apply_plan_report(&shared, &report),
+            jobs::Job::ApplyPlanReport(report) => {
+                local_planner::apply_plan_report(&shared, &report)
+            }
             jobs::Job::UpdateTables { update, applied_tx } => {
                 store_updates::apply(&shared, update);
                 // The sender of the update may have been cancelled.
