Wait for requests from their head until their response is written

A caller whose body was still coming when the instance stopped accepting connections lost its connection without a response. Cause: the process counted requests that are driven, not bodies that are read or responses that a caller has not taken, and exited 0.2 s after the last one. The end of the drain also bounds the reading of a body. `leaving` no longer says how many requests are in progress, since kept connections count. Measured: the test passes; a_connection_without_a_request_does_not_delay_the_exit passes before and after; standins/tests/{drain,relay,relay_life,path}.rs passed. Not tested: a caller that does not read its response.

--- a/limpetkeeld/src/relay/drain.rs
+++ b/limpetkeeld/src/relay/drain.rs
@@ -10,8 +10,8 @@
 /// Interval between checks for requests in progress.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// Time to flush the last responses to the network before the process exits.
-const FLUSH_DELAY: time::Duration = time::Duration::from_millis(200);
+/// Time to send the last reports to peers and releases to upstreams before the process exits.
+const REPORT_DELAY: time::Duration = time::Duration::from_millis(200);
 
 /// Maximum number of unfinished requests that are logged one by one.
 const MAX_LOGGED_REQUESTS: usize = 64;
@@ -61,7 +61,6 @@
         event = "leaving",
         instance = %shared.settings.instance,
         drain_timeout_ms = shared.settings.drain_timeout.0,
-        in_progress = shared.requests.lock().in_progress.len(),
     );
     let accept_until = schedule.accepts_connections_until();
     tokio::time::sleep_until(shared.clock.instant(accept_until)).await;
@@ -70,7 +69,8 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
     let in_progress = record_unfinished(shared);
-    tokio::time::sleep(FLUSH_DELAY).await;
+    let reported = tokio::time::Instant::now() + REPORT_DELAY;
+    tokio::time::sleep_until(reported.min(deadline)).await;
     tracing::info!(event = "stopped", instance = %shared.settings.instance, in_progress);
 }
 
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::relay::{
-    attempt, availability, caller_request, drain, exchange, planning, request_summary,
-    reservations, response_writer, retry_budget, shared, stream, upstream,
+    attempt, availability, caller_request, drain, planning, request_summary, reservations,
+    response_writer, retry_budget, shared, stream, upstream,
 };
 
 /// Number of failures to connect or to reserve memory after which a request is given up.
@@ -87,11 +87,6 @@
     relayed: RelayedRequest<Routed>,
     writer: response_writer::ResponseWriter,
 ) {
-    let exchange = exchange::Exchange {
-        request: request.head.id.clone(),
-        received: relayed.received(),
-    };
-    let _guard = exchange::ExchangeGuard::begin(&shared, exchange);
     let mut active = ActiveRequest {
         shared,
         request,
--- a/limpetkeeld/src/relay/exchange.rs
+++ b/limpetkeeld/src/relay/exchange.rs
@@ -1,4 +1,5 @@
-//! The requests in progress on this instance.
+//! The requests in progress on this instance, from the request head until their response has been
+//! written.
 
 use std::sync;
 
@@ -16,14 +17,28 @@
 }
 
 /// Keeps a request counted as in progress until it is dropped.
-pub struct ExchangeGuard {
+struct ExchangeGuard {
     shared: sync::Arc<shared::Shared>,
     key: u64,
 }
 
+/// The exchange on a connection. It counts as in progress until the next one begins or the
+/// connection is closed, since only closing a connection tells that a response has been written.
+#[derive(Default)]
+pub struct ConnectionExchange(parking_lot::Mutex<Option<ExchangeGuard>>);
+
+impl ConnectionExchange {
+    /// Replaces the previous exchange of the connection.
+    pub fn begin(&self, shared: &sync::Arc<shared::Shared>, exchange: Exchange) {
+        let guard = ExchangeGuard::begin(shared, exchange);
+        let previous = self.0.lock().replace(guard);
+        drop(previous);
+    }
+}
+
 impl ExchangeGuard {
     /// Counts a request as in progress.
-    pub fn begin(shared: &sync::Arc<shared::Shared>, exchange: Exchange) -> ExchangeGuard {
+    fn begin(shared: &sync::Arc<shared::Shared>, exchange: Exchange) -> ExchangeGuard {
         let mut requests = shared.requests.lock();
         let key = requests.next_exchange;
         requests.next_exchange += 1;
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     listener,
-    relay::{body, caller_request, drive, port, response_writer, shared, task},
+    relay::{body, caller_request, drain, drive, exchange, port, response_writer, shared, task},
 };
 
 /// Request limits that apply until the first routing table arrives.
@@ -32,7 +32,7 @@
 const RETRY_AFTER: Millis = Millis(300);
 
 /// Timeout for receiving a request body.
-const BODY_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
+const BODY_TIMEOUT: Millis = Millis(10_000);
 
 /// Accepts caller connections until the instance stops listening.
 ///
@@ -55,9 +55,10 @@
 async fn serve_connection(shared: sync::Arc<shared::Shared>, stream: tokio::net::TcpStream) {
     let limits = shared.tables.lock().ingress.limits();
     let limits = limits.unwrap_or(DEFAULT_LIMITS);
+    let exchange = sync::Arc::new(exchange::ConnectionExchange::default());
     let handler = service::service_fn({
         let shared = shared.clone();
-        move |req| handle(shared.clone(), req)
+        move |req| handle(shared.clone(), exchange.clone(), req)
     });
     let serving = http1::Builder::new()
         .timer(rt::TokioTimer::new())
@@ -76,11 +77,17 @@
 /// Handles one request. A draining instance adds `connection: close` to the response.
 async fn handle(
     shared: sync::Arc<shared::Shared>,
+    exchange: sync::Arc<exchange::ConnectionExchange>,
     req: http::Request<Incoming>,
 ) -> Result<http::Response<body::Body>, convert::Infallible> {
     let (parts, incoming) = req.into_parts();
     let head = shared.codec.decode_request(&parts);
     let id = head.as_ref().ok().map(|head| head.id.clone());
+    let begun = exchange::Exchange {
+        request: id.clone().unwrap_or_default(),
+        received: shared.clock.now(),
+    };
+    exchange.begin(&shared, begun);
     let mut res = match admit(&shared, parts, head, incoming).await {
         Ok((request, relayed)) => relay_request(&shared, request, relayed).await,
         Err(refusal) => refusal_response(&shared, id.as_deref(), refusal),
@@ -225,8 +232,13 @@
         }
         Ok(())
     };
-    let received = tokio::time::timeout(BODY_TIMEOUT, receiving).await;
-    received.unwrap_or(Err(port::Refusal::NotRun(RETRY_AFTER)))?;
+    let deadline = shared.clock.now().after(BODY_TIMEOUT);
+    tokio::select! {
+        received = receiving => received?,
+        _ = drain::deadline_passed(shared, deadline) => {
+            return Err(port::Refusal::NotRun(RETRY_AFTER));
+        }
+    }
     buffered.bytes = body.freeze();
     Ok(buffered)
 }
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -77,7 +77,8 @@
 /// The relayed requests in progress on this instance.
 #[derive(Debug, Default)]
 pub struct Requests {
-    /// The requests in progress, by a number that identifies each of them.
+    /// The requests in progress, by a number that identifies each of them. The latest request of a
+    /// connection that is kept open counts as well.
     pub in_progress: collections::BTreeMap<u64, exchange::Exchange>,
     /// The number of the next request.
     pub next_exchange: u64,
--- a/standins/tests/drain.rs
+++ b/standins/tests/drain.rs
@@ -5,10 +5,11 @@
 use platform::names;
 use standins::deployment::{
     daemon::{self, Deployment},
-    table::Table,
+    table::{self, Table},
     upstream::{self, Behavior},
 };
 use test_case::test_case;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 /// The drain timeout of the daemons, after which they are killed.
 const DRAIN_TIMEOUT: time::Duration = time::Duration::from_secs(4);
@@ -195,3 +196,64 @@
     let elapsed = signalled.elapsed();
     assert!(elapsed < drain_timeout, "{elapsed:?}");
 }
+
+#[tokio::test]
+async fn a_request_whose_body_is_still_coming_is_answered_after_the_signal() {
+    let mut deployment = start(1).await;
+    let (head, body) = raw_request("id1", 6);
+    let mut stream = connect(&deployment).await;
+    stream.write_all(head.as_bytes()).await.expect("head");
+    terminate(&deployment);
+    daemon::wait_until("the daemon accepts no connections", async || {
+        let address = deployment.daemons[0].http_address;
+        tokio::net::TcpStream::connect(address).await.is_err()
+    })
+    .await
+    .expect("closed");
+    // Longer than an idle process takes to exit.
+    tokio::time::sleep(time::Duration::from_millis(250)).await;
+    let _ = stream.write_all(body.as_bytes()).await;
+    let mut response = String::new();
+    let _ = stream.read_to_string(&mut response).await;
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
+    wait_exited(&mut deployment).await;
+}
+
+#[tokio::test]
+async fn a_connection_without_a_request_does_not_delay_the_exit() {
+    let mut deployment = start(1).await;
+    let unused = connect(&deployment).await;
+    let mut partial = connect(&deployment).await;
+    partial.write_all(b"POST /look/x HT").await.expect("write");
+    let signalled = terminate(&deployment);
+    daemon::wait_until("the daemon accepts no connections", async || {
+        let address = deployment.daemons[0].http_address;
+        tokio::net::TcpStream::connect(address).await.is_err()
+    })
+    .await
+    .expect("closed");
+    wait_exited(&mut deployment).await;
+    assert!(signalled.elapsed() < DRAIN_TIMEOUT);
+    assert!(deployment.log().contains("in_progress=0"));
+    drop((unused, partial));
+}
+
+async fn connect(deployment: &Deployment) -> tokio::net::TcpStream {
+    let address = deployment.daemons[0].http_address;
+    let connected = tokio::net::TcpStream::connect(address).await;
+    connected.expect("connection")
+}
+
+/// Returns the head and the body of a request to the default route.
+fn raw_request(id: &str, length: usize) -> (String, String) {
+    let head = format!(
+        "POST /look/x HTTP/1.1\r\nhost: {}\r\n{}: {id}\r\n{}: {ROUTE_TIMEOUT_MS}\r\n\
+         authorization: {}{}\r\ncontent-length: {length}\r\n\r\n",
+        table::HOST,
+        names::REQUEST_ID,
+        names::REMAINING_MS,
+        names::KEY_SCHEME,
+        table::API_KEY,
+    );
+    (head, "x".repeat(length))
+}
