--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -1,10 +1,11 @@
 //! Relays requests to any upstream service without interpreting their bodies.
 //!
-//! [`front`] accepts a request and matches it to a route, and [`drive`] carries it to its end:
-//! [`planning`] obtains a plan from the pool's planner, which is the [`local_planner`] of one
-//! instance, [`reservations`] reserves memory on the helper engines, [`attempt`] makes one attempt
-//! over one connection of [`upstream`], [`availability`] keeps what its response says about further
-//! requests, and [`stream`] forwards an event stream to the caller through [`response_writer`].
+//! [`front`] accepts a request and matches it to a route, and [`drive`] carries it to its end. For
+//! each attempt, [`preparation`] obtains a plan through [`planning`] from the pool's planner, which
+//! is the [`local_planner`] of one instance, connects to the lead, and reserves memory on the helper
+//! engines through [`reservations`]. [`attempt`] sends the request over one connection of
+//! [`upstream`], [`availability`] keeps what the response says about further requests, and
+//! [`stream`] forwards an event stream to the caller through [`response_writer`].
 //! [`request_summary`] logs the result.
 //!
 //! [`store_watch`] receives table changes from the store, a watcher or a peer, [`store_updates`]
@@ -29,6 +30,7 @@
 pub mod peer_handler;
 pub mod planning;
 pub mod port;
+pub mod preparation;
 pub mod quarantine;
 pub mod register;
 pub mod reload;
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -1,30 +1,17 @@
 //! Drives a request from its first plan through its attempts to the final response.
 
-use std::{sync, time};
+use std::sync;
 
-use limpetkeel::{
-    AttemptResult, Error, Millis, PlacedRelayedRequest, Plan, PlanRequest, RelayedRequest,
-    RequestId, Routed, Sent, Timestamp, UpstreamName,
-};
+use limpetkeel::{AttemptResult, Plan, RelayedRequest, Routed, Sent, Timestamp, UpstreamName};
 
 use crate::relay::{
-    attempt, availability, caller_request, drain, planning, request_summary, reservations,
+    attempt, caller_request, drain, planning, preparation, request_summary, reservations,
     response_writer, retry_budget, shared, stream, upstream,
 };
 
 /// Number of failures to connect or to reserve memory after which a request is given up.
 const MAX_FAILED_PREPARATIONS: u32 = 5;
 
-/// Time between plan requests while the pool has no capacity.
-const REPLAN_INTERVAL: time::Duration = time::Duration::from_millis(40);
-
-/// Maximum time a request waits for capacity, as a share of its objective and capped by
-/// [`MAX_CAPACITY_WAIT`]. The caller then receives a refusal with a retry delay.
-const CAPACITY_WAIT_RATIO: f64 = 0.5;
-
-/// Upper bound on the time a request waits for capacity.
-const MAX_CAPACITY_WAIT: Millis = Millis(2_000);
-
 /// A request in progress. Dropping it logs the request and updates the metrics, also when the
 /// caller disconnects.
 struct ActiveRequest {
@@ -159,7 +146,7 @@
         };
         let placed = relayed.place(plan);
         summary.record_plan(placed.plan());
-        match prepare(shared, &placed).await {
+        match preparation::prepare(shared, &placed).await {
             Ok((group, connection)) => {
                 if let Err(retry_budget::Exhausted) = retry_budget::take(shared, &placed) {
                     return RetryLoopOutcome::GaveUp(
@@ -211,7 +198,7 @@
             .check_send(shared.clock.now())
             .map_err(request_summary::FailureReason::NoRetry)?;
     }
-    obtain_plan(shared, request, relayed).await
+    preparation::obtain_plan(shared, request, relayed).await
 }
 
 /// The resources prepared for an attempt.
@@ -221,14 +208,6 @@
     connection: upstream::Connection,
 }
 
-/// The reason why a plan could not be used.
-struct PreparationFailure {
-    at_fault: UpstreamName,
-    attempt_result: AttemptResult,
-    /// The reason used in metrics and logs.
-    reason: &'static str,
-}
-
 /// Runs one attempt and reports its result to the planner.
 async fn run_attempt(
     shared: &sync::Arc<shared::Shared>,
@@ -352,103 +331,3 @@
         reason,
     );
 }
-
-/// Obtains a plan, waiting up to [`CAPACITY_WAIT_RATIO`] of the objective while the pool has no
-/// capacity.
-async fn obtain_plan(
-    shared: &sync::Arc<shared::Shared>,
-    request: &caller_request::CallerRequest,
-    relayed: &mut RelayedRequest<Routed>,
-) -> Result<(Plan, planning::PlanGuard), request_summary::FailureReason> {
-    let objective = request.admission.route.objective();
-    let wait = Millis((objective.first_event.0 as f64 * CAPACITY_WAIT_RATIO) as u64)
-        .min(MAX_CAPACITY_WAIT);
-    let wait_until = shared.clock.now().after(wait);
-    loop {
-        drain::limit_deadline(shared, relayed);
-        let now = shared.clock.now();
-        let plan_request = PlanRequest {
-            id: RequestId(rand::random()),
-            pool: relayed.info().pool.clone(),
-            availability_zone: shared.settings.availability_zone.clone(),
-            size: request.head.size,
-            parts: request.head.parts.clone(),
-            objective,
-            remaining: relayed.deadline().since(now),
-            excluded_upstreams: relayed.tried_upstreams().to_vec(),
-            unavailable_upstreams: availability::unavailable_upstreams(
-                shared,
-                &relayed.info().pool,
-            ),
-        };
-        let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
-            Ok(planned) => return Ok(planned),
-            Err(e) => e,
-        };
-        let retryable = matches!(
-            refusal,
-            Error::NoMemory | Error::NoHelper | Error::NoUpstream(_)
-        );
-        if !retryable || shared.clock.now() >= wait_until {
-            tracing::info!(
-                event = "plan_refused",
-                request = %request.head.id,
-                pool = %plan_request.pool,
-                error = %refusal,
-            );
-            return Err(match refusal {
-                Error::PartHeldBack { retry_after } => {
-                    request_summary::FailureReason::PartHeldBack { retry_after }
-                }
-                _ => request_summary::FailureReason::NoPlan,
-            });
-        }
-        tokio::time::sleep(REPLAN_INTERVAL).await;
-    }
-}
-
-/// Connects to the lead upstream and reserves memory on its helpers.
-///
-/// # Errors
-///
-/// Returns the reason why the plan cannot be used. Nothing of the request has been sent by then.
-async fn prepare(
-    shared: &sync::Arc<shared::Shared>,
-    placed: &RelayedRequest<PlacedRelayedRequest>,
-) -> Result<(reservations::HelperGroup, upstream::Connection), PreparationFailure> {
-    let plan = placed.plan();
-    check_available(shared, plan)?;
-    let reserving = reservations::HelperGroup::reserve(shared, plan.id, &plan.helpers);
-    let connecting = upstream::Connection::open(plan.lead.address);
-    let (group, connection) = tokio::join!(reserving, connecting);
-    let failure = |at_fault, attempt_result| PreparationFailure {
-        at_fault,
-        attempt_result,
-        reason: "not_connected",
-    };
-    let connection =
-        connection.map_err(|_| failure(plan.lead.upstream.clone(), AttemptResult::Unreachable))?;
-    let group = group.map_err(|e| match e {
-        reservations::Error::Refused(name) => failure(name, AttemptResult::Declined),
-        reservations::Error::NoResponse(name) => failure(name, AttemptResult::Unreachable),
-    })?;
-    check_available(shared, plan)?;
-    Ok((group, connection))
-}
-
-/// Checks that all upstreams of a plan accept requests from this instance.
-///
-/// # Errors
-///
-/// Returns the first upstream that has said otherwise. This is no news to the planner's health
-/// records, since other instances may still use the upstream.
-fn check_available(shared: &shared::Shared, plan: &Plan) -> Result<(), PreparationFailure> {
-    let Some(name) = availability::find_unavailable(shared, plan) else {
-        return Ok(());
-    };
-    Err(PreparationFailure {
-        at_fault: name.clone(),
-        attempt_result: AttemptResult::Inconclusive,
-        reason: "unavailable",
-    })
-}
--- /dev/null
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -0,0 +1,136 @@
+//! Prepares an attempt: obtains its plan, connects to the lead upstream and reserves memory on the
+//! helpers.
+
+use std::{sync, time};
+
+use limpetkeel::{
+    AttemptResult, Error, Millis, PlacedRelayedRequest, Plan, PlanRequest, RelayedRequest,
+    RequestId, Routed, UpstreamName,
+};
+
+use crate::relay::{
+    availability, caller_request, drain, planning, request_summary, reservations, shared, upstream,
+};
+
+/// Time between plan requests while the pool has no capacity.
+const REPLAN_INTERVAL: time::Duration = time::Duration::from_millis(40);
+
+/// Maximum time a request waits for capacity, as a share of its objective and capped by
+/// [`MAX_CAPACITY_WAIT`]. The caller then receives a refusal with a retry delay.
+const CAPACITY_WAIT_RATIO: f64 = 0.5;
+
+/// Upper bound on the time a request waits for capacity.
+const MAX_CAPACITY_WAIT: Millis = Millis(2_000);
+
+/// The reason why a plan could not be used.
+pub struct PreparationFailure {
+    /// The upstream at fault.
+    pub at_fault: UpstreamName,
+    /// The result that is reported to the planner.
+    pub attempt_result: AttemptResult,
+    /// The reason used in metrics and logs.
+    pub reason: &'static str,
+}
+
+/// Obtains a plan. While the pool has no capacity, waits for a share of the objective.
+///
+/// # Errors
+///
+/// Returns the reason why the request is not sent.
+pub async fn obtain_plan(
+    shared: &sync::Arc<shared::Shared>,
+    request: &caller_request::CallerRequest,
+    relayed: &mut RelayedRequest<Routed>,
+) -> Result<(Plan, planning::PlanGuard), request_summary::FailureReason> {
+    let objective = request.admission.route.objective();
+    let wait = Millis((objective.first_event.0 as f64 * CAPACITY_WAIT_RATIO) as u64)
+        .min(MAX_CAPACITY_WAIT);
+    let wait_until = shared.clock.now().after(wait);
+    loop {
+        drain::limit_deadline(shared, relayed);
+        let now = shared.clock.now();
+        let plan_request = PlanRequest {
+            id: RequestId(rand::random()),
+            pool: relayed.info().pool.clone(),
+            availability_zone: shared.settings.availability_zone.clone(),
+            size: request.head.size,
+            parts: request.head.parts.clone(),
+            objective,
+            remaining: relayed.deadline().since(now),
+            excluded_upstreams: relayed.tried_upstreams().to_vec(),
+            unavailable_upstreams: availability::unavailable_upstreams(
+                shared,
+                &relayed.info().pool,
+            ),
+        };
+        let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
+            Ok(planned) => return Ok(planned),
+            Err(e) => e,
+        };
+        let retryable = matches!(
+            refusal,
+            Error::NoMemory | Error::NoHelper | Error::NoUpstream(_)
+        );
+        if !retryable || shared.clock.now() >= wait_until {
+            tracing::info!(
+                event = "plan_refused",
+                request = %request.head.id,
+                pool = %plan_request.pool,
+                error = %refusal,
+            );
+            return Err(match refusal {
+                Error::PartHeldBack { retry_after } => {
+                    request_summary::FailureReason::PartHeldBack { retry_after }
+                }
+                _ => request_summary::FailureReason::NoPlan,
+            });
+        }
+        tokio::time::sleep(REPLAN_INTERVAL).await;
+    }
+}
+
+/// Connects to the lead upstream and reserves memory on its helpers.
+///
+/// # Errors
+///
+/// Returns the reason why the plan cannot be used. Nothing of the request has been sent by then.
+pub async fn prepare(
+    shared: &sync::Arc<shared::Shared>,
+    placed: &RelayedRequest<PlacedRelayedRequest>,
+) -> Result<(reservations::HelperGroup, upstream::Connection), PreparationFailure> {
+    let plan = placed.plan();
+    check_available(shared, plan)?;
+    let reserving = reservations::HelperGroup::reserve(shared, plan.id, &plan.helpers);
+    let connecting = upstream::Connection::open(plan.lead.address);
+    let (group, connection) = tokio::join!(reserving, connecting);
+    let failure = |at_fault, attempt_result| PreparationFailure {
+        at_fault,
+        attempt_result,
+        reason: "not_connected",
+    };
+    let connection =
+        connection.map_err(|_| failure(plan.lead.upstream.clone(), AttemptResult::Unreachable))?;
+    let group = group.map_err(|e| match e {
+        reservations::Error::Refused(name) => failure(name, AttemptResult::Declined),
+        reservations::Error::NoResponse(name) => failure(name, AttemptResult::Unreachable),
+    })?;
+    check_available(shared, plan)?;
+    Ok((group, connection))
+}
+
+/// Checks that all upstreams of a plan accept requests from this instance.
+///
+/// # Errors
+///
+/// Returns the first upstream that has said otherwise. This is no news to the planner's health
+/// records, since other instances may still use the upstream.
+fn check_available(shared: &shared::Shared, plan: &Plan) -> Result<(), PreparationFailure> {
+    let Some(name) = availability::find_unavailable(shared, plan) else {
+        return Ok(());
+    };
+    Err(PreparationFailure {
+        at_fault: name.clone(),
+        attempt_result: AttemptResult::Inconclusive,
+        reason: "unavailable",
+    })
+}
