Check once more for requests before a draining process stops

What callers could see: a connection that had sent a part of its head when the instance stopped accepting was kept, and its request, which was complete within the last 0.2 s, was taken and cut off by the exit. Cause: the requests in progress were checked before the final delay only. Change: the process stops only if no request is in progress after the delay, or at the end of the drain; unfinished requests are counted after that.

--- a/limpetkeeld/src/relay/drain.rs
+++ b/limpetkeeld/src/relay/drain.rs
@@ -65,15 +65,27 @@
     let accept_until = schedule.accepts_connections_until();
     tokio::time::sleep_until(shared.clock.instant(accept_until)).await;
     shared.closing.cancel();
-    while !shared.requests.lock().in_progress.is_empty() && tokio::time::Instant::now() < deadline {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+    // A connection whose request is still arriving is not in progress, so check once more.
+    loop {
+        wait_until_idle(shared, deadline).await;
+        let reported = tokio::time::Instant::now() + REPORT_DELAY;
+        tokio::time::sleep_until(reported.min(deadline)).await;
+        let is_idle = shared.requests.lock().in_progress.is_empty();
+        if is_idle || tokio::time::Instant::now() >= deadline {
+            break;
+        }
     }
     let in_progress = record_unfinished(shared);
-    let reported = tokio::time::Instant::now() + REPORT_DELAY;
-    tokio::time::sleep_until(reported.min(deadline)).await;
     tracing::info!(event = "stopped", instance = %shared.settings.instance, in_progress);
 }
 
+/// Waits until no request is in progress or the deadline has passed.
+async fn wait_until_idle(shared: &shared::Shared, deadline: tokio::time::Instant) {
+    while !shared.requests.lock().in_progress.is_empty() && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// Shortens the deadline of a request to the end of the drain.
 pub fn limit_deadline<S>(shared: &shared::Shared, relayed: &mut RelayedRequest<S>) {
     relayed.limit_deadline(effective_deadline(shared, relayed.deadline()));
