Do not count a broken resumption as evidence against a prompt

Cause: an attempt that breaks before its first event counted against the parts of the prompt even if an earlier attempt of the same request had delivered events, which shows that a response on these parts was written. Found by review. Change: such an attempt is a failed one. Measured: limpetkeel tests and clippy; no test of its own.

--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -265,7 +265,8 @@
             });
             return AttemptOutcome::Retry(sent.into_failed());
         }
-        Err(attempt::Failure::Failed(attempt::Cause::Crashed)) => {
+        // A resumed prompt has had a response before.
+        Err(attempt::Failure::Failed(attempt::Cause::Crashed)) if !writer.is_streaming() => {
             plan_guard.record_attempt_result(&lead, AttemptResult::Crashed);
             record_failed_attempt(shared, request, &lead, attempt::Cause::Crashed.code());
             // The planner needs the evidence before it plans a retry.
