Try a suspected part at once in requests that tell it apart

What callers would see: sound requests refused for 10 s and more, if their workspace's part came with the deadly part in all crashes and no response was written on it in between. Both parts were quarantined, and the sound requests, which alone can tell the two apart, were held back as well. Cause: a request was refused if any of its parts was held back. Found by review. Change: a held part is tried at once, one request at a time, by a request that lacks a part which shares a crash with it and has at least as many crashes. A response clears the sound part; if the deadly part is tried this way, it has more crashes than the sound one afterwards and is not tried so again. Measured: two tests fail before (Refused { retry_after: Millis(9900) } where a trial is due) and pass now; limpetkeel's tests pass.

--- a/limpetkeel/src/part_screening.rs
+++ b/limpetkeel/src/part_screening.rs
@@ -112,7 +112,13 @@
             let Some(screened) = self.parts.get(part) else {
                 continue;
             };
-            verdict = match (verdict, screened.admission(now)) {
+            let admission = match screened.admission(now) {
+                screened_part::Admission::Held(_) if self.lacks_other_cause(screened, parts) => {
+                    screened_part::Admission::Trial
+                }
+                admission => admission,
+            };
+            verdict = match (verdict, admission) {
                 (_, screened_part::Admission::Free) => verdict,
                 (Verdict::Clear, screened_part::Admission::Trial) => Verdict::Trial,
                 (_, screened_part::Admission::Trial) => verdict,
@@ -129,15 +135,24 @@
         verdict
     }
 
+    /// Returns `true` if a request lacks a part that explains the crashes of `screened` as well, and
+    /// `screened` is not on trial. Only such a request tells the two parts apart.
+    fn lacks_other_cause(
+        &self,
+        screened: &screened_part::ScreenedPart,
+        parts: &[prompt_part::PartId],
+    ) -> bool {
+        screened.phase() != screened_part::Phase::OnTrial
+            && self
+                .parts
+                .iter()
+                .any(|(part, other)| !parts.contains(part) && other.explains(screened))
+    }
+
     /// Starts the trial of the suspected parts of a request that was planned after
     /// [`screen`](PartScreening::screen) returned [`Verdict::Trial`].
-    pub fn begin_trial(
-        &mut self,
-        now: unit::Timestamp,
-        plan: grant::RequestId,
-        parts: &[prompt_part::PartId],
-    ) {
-        self.update(parts, |screened| screened.begin_trial(now, plan));
+    pub fn begin_trial(&mut self, plan: grant::RequestId, parts: &[prompt_part::PartId]) {
+        self.update(parts, |screened| screened.begin_trial(plan));
     }
 
     /// Ends the trial of a plan without a result. Plans that are not trials are ignored.
--- a/limpetkeel/src/part_screening/screened_part.rs
+++ b/limpetkeel/src/part_screening/screened_part.rs
@@ -243,6 +243,15 @@
         self.evidence().last_crash
     }
 
+    /// Returns `true` if the part explains the crashes of another part as well as that part does:
+    /// it was in a request of the same crash, and has at least as many crashes.
+    pub(super) fn explains(&self, other: &ScreenedPart) -> bool {
+        let (own, others) = (self.evidence(), other.evidence());
+        self.is_suspected()
+            && own.crashes >= others.crashes
+            && own.upstreams.iter().any(|u| others.upstreams.contains(u))
+    }
+
     /// Returns the state.
     pub(super) fn phase(&self) -> Phase {
         match self {
@@ -300,12 +309,11 @@
         }
     }
 
-    /// Starts a trial if one is admitted.
-    pub(super) fn begin_trial(self, now: unit::Timestamp, plan: grant::RequestId) -> ScreenedPart {
-        let admitted = self.admission(now) == Admission::Trial;
+    /// Starts a trial, unless one is in progress.
+    pub(super) fn begin_trial(self, plan: grant::RequestId) -> ScreenedPart {
         match self {
             ScreenedPart::Suspected(part) => ScreenedPart::SuspectedOnTrial(part.begin_trial(plan)),
-            ScreenedPart::Quarantined(part) if admitted => {
+            ScreenedPart::Quarantined(part) => {
                 ScreenedPart::QuarantinedOnTrial(part.begin_trial(plan))
             }
             other => other,
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -161,7 +161,7 @@
         };
         self.record_plan(now, &reported_plan);
         if isolation == screening::Isolation::Trial {
-            self.begin_trial(now, &reported_plan);
+            self.begin_trial(&reported_plan);
         }
         Ok(reported_plan.plan)
     }
--- a/limpetkeel/src/planner/screening.rs
+++ b/limpetkeel/src/planner/screening.rs
@@ -55,9 +55,9 @@
     }
 
     /// Starts a trial of the suspected parts of a request that has been planned.
-    pub(super) fn begin_trial(&mut self, now: unit::Timestamp, trial: &plan::ReportedPlan) {
+    pub(super) fn begin_trial(&mut self, trial: &plan::ReportedPlan) {
         let plan = &trial.plan;
-        self.screening.begin_trial(now, plan.id, &trial.parts);
+        self.screening.begin_trial(plan.id, &trial.parts);
         if let Some(lead) = self.upstreams.get_mut(&plan.lead.upstream) {
             lead.begin_trial(plan.id);
         }
--- a/limpetkeel/tests/part_screening.rs
+++ b/limpetkeel/tests/part_screening.rs
@@ -37,7 +37,7 @@
 fn begin_trial(screening: &mut PartScreening, now: u64, number: u64, parts: &[PartId]) {
     let verdict = screening.screen(Timestamp(now), parts);
     assert_eq!(verdict, ScreeningVerdict::Trial, "at {now}");
-    screening.begin_trial(Timestamp(now), RequestId(number), parts);
+    screening.begin_trial(RequestId(number), parts);
 }
 
 /// Returns the time until the next trial.
@@ -356,3 +356,32 @@
     crash(&mut screening, 2_000, 3, &[DEADLY]);
     assert_eq!(retry_after(&mut screening, 2_000, DEADLY), Millis(20_000));
 }
+
+#[test]
+fn a_sound_part_is_not_held_back_with_the_deadly_part_of_other_requests() {
+    let mut screening = PartScreening::default();
+    crash(&mut screening, 0, 1, &[SOUND, DEADLY]);
+    crash(&mut screening, 1_000, 2, &[SOUND, DEADLY]);
+    begin_trial(&mut screening, 1_500, 3, &[SOUND, DEADLY]);
+    crash(&mut screening, 2_000, 3, &[SOUND, DEADLY]);
+    let verdict = screening.screen(Timestamp(2_100), &[SOUND, DEADLY]);
+    assert!(matches!(verdict, ScreeningVerdict::Refused { .. }));
+    begin_trial(&mut screening, 2_100, 4, &[SOUND]);
+    screening.record_response(&[SOUND]);
+    let verdict = screening.screen(Timestamp(2_300), &[SOUND]);
+    assert_eq!(verdict, ScreeningVerdict::Clear);
+    assert_eq!(retry_after(&mut screening, 2_300, DEADLY), Millis(9_700));
+}
+
+#[test]
+fn a_deadly_part_is_tried_once_without_a_sound_part_of_the_same_crashes() {
+    let mut screening = PartScreening::default();
+    crash(&mut screening, 0, 1, &[SOUND, DEADLY]);
+    crash(&mut screening, 1_000, 2, &[SOUND, DEADLY]);
+    begin_trial(&mut screening, 1_500, 3, &[SOUND, DEADLY]);
+    crash(&mut screening, 2_000, 3, &[SOUND, DEADLY]);
+    begin_trial(&mut screening, 2_100, 4, &[DEADLY]);
+    crash(&mut screening, 2_300, 4, &[DEADLY]);
+    assert_eq!(retry_after(&mut screening, 2_300, DEADLY), Millis(20_000));
+    begin_trial(&mut screening, 2_400, 5, &[SOUND]);
+}
