Count the crash of a trial whatever crashes beside it

Cause: a crash within 200 ms of another one, or of an upstream that had crashed before, was not counted; if it was the crash of the part's own trial, the trial ended without a result and the next request was a trial at once. Found by review. Change: the crash of a trial always counts. Measured: a_crashed_trial_counts_beside_other_crashes fails before (not refused after the trial) and passes now.

--- a/limpetkeel/src/part_screening/screened_part.rs
+++ b/limpetkeel/src/part_screening/screened_part.rs
@@ -56,20 +56,21 @@
         }
     }
 
-    /// Counts a crash. Returns `false` if it has the same cause as an earlier one.
-    fn add(&mut self, now: unit::Timestamp, crash: &Crash) -> bool {
-        let same_cause =
+    /// Returns `true` if a crash has the same cause as an earlier one.
+    fn has_cause_of(&self, now: unit::Timestamp, crash: &Crash) -> bool {
+        let at_once =
             crash.planned_at < self.last_crash && now.since(self.last_crash) < CRASH_SEPARATION;
-        if same_cause || self.upstreams.contains(&crash.upstream) {
-            return false;
-        }
+        at_once || self.upstreams.contains(&crash.upstream)
+    }
+
+    /// Counts a crash.
+    fn add(&mut self, now: unit::Timestamp, crash: &Crash) {
         self.crashes = self.crashes.saturating_add(1);
         self.last_crash = now;
         if self.upstreams.len() == MAX_CRASHED_UPSTREAMS {
             self.upstreams.remove(0);
         }
         self.upstreams.push(crash.upstream.clone());
-        true
     }
 }
 
@@ -252,6 +253,15 @@
             && own.upstreams.iter().any(|u| others.upstreams.contains(u))
     }
 
+    /// Returns `true` if a plan is the trial of the part.
+    fn is_trial(&self, plan: grant::RequestId) -> bool {
+        match self {
+            ScreenedPart::SuspectedOnTrial(part) => part.state.plan == plan,
+            ScreenedPart::QuarantinedOnTrial(part) => part.state.plan == plan,
+            _ => false,
+        }
+    }
+
     /// Returns the state.
     pub(super) fn phase(&self) -> Phase {
         match self {
@@ -333,9 +343,13 @@
         }
     }
 
-    /// Records that an upstream crashed under a plan. If the crash does not count, it ends the
-    /// trial of the plan without a result.
+    /// Records that an upstream crashed under a plan. A crash with the cause of an earlier one counts
+    /// only if the plan is the trial of the part.
     pub(super) fn record_crash(mut self, now: unit::Timestamp, crash: &Crash) -> ScreenedPart {
+        let plan = crash.plan;
+        if self.evidence().has_cause_of(now, crash) && !self.is_trial(plan) {
+            return self;
+        }
         let evidence = match &mut self {
             ScreenedPart::Reported(part) => &mut part.evidence,
             ScreenedPart::Suspected(part) => &mut part.evidence,
@@ -343,10 +357,7 @@
             ScreenedPart::Quarantined(part) => &mut part.evidence,
             ScreenedPart::QuarantinedOnTrial(part) => &mut part.evidence,
         };
-        let plan = crash.plan;
-        if !evidence.add(now, crash) {
-            return self.end_trial(plan);
-        }
+        evidence.add(now, crash);
         match self {
             ScreenedPart::Reported(part) if part.evidence.crashes >= SUSPECTED_CRASHES => {
                 ScreenedPart::Suspected(part.suspect())
--- a/limpetkeel/tests/part_screening.rs
+++ b/limpetkeel/tests/part_screening.rs
@@ -385,3 +385,14 @@
     assert_eq!(retry_after(&mut screening, 2_300, DEADLY), Millis(20_000));
     begin_trial(&mut screening, 2_400, 5, &[SOUND]);
 }
+
+#[test]
+fn a_crashed_trial_counts_beside_other_crashes() {
+    let mut screening = PartScreening::default();
+    crash(&mut screening, 0, 1, &[DEADLY]);
+    crash(&mut screening, 1_000, 2, &[DEADLY]);
+    begin_trial(&mut screening, 1_050, 3, &[DEADLY]);
+    crash(&mut screening, 1_210, 4, &[DEADLY]);
+    crash(&mut screening, 1_300, 3, &[DEADLY]);
+    assert_eq!(retry_after(&mut screening, 1_300, DEADLY), Millis(20_000));
+}
