--- a/limpetkeel/tests/instance.rs
+++ b/limpetkeel/tests/instance.rs
@@ -16,7 +16,7 @@
 
 #[test_case(0, 10_000, true; "load balancers still send requests")]
 #[test_case(2_400, 10_000, true; "within the time that load balancers need")]
-#[test_case(2_800, 10_000, false; "within the users' limit if the signal was handled 200 ms late")]
+#[test_case(2_800, 10_000, false; "too late to be finished if the signal was handled 200 ms late")]
 #[test_case(3_017, 10_000, false; "a late request that may be cut off")]
 #[test_case(3_017, 4_900, false; "a late request that ends too late for its response to be written")]
 #[test_case(3_017, 4_400, true; "a late request that ends in time")]
