Let the test of a killed planner wait until the instances know each other

Cause: it failed once in a run beside load and twice of two loops beside ten busy processes, each time at its precondition. The log of a failure: two daemons read the store before any was registered (catalog_adopted instances=0) and planned for themselves 14 ms later; their watches return up to 300 ms later. Change: the requests are repeated, each of which must succeed, until a plan by another instance is logged. The checks after the kill are unchanged.

--- a/standins/tests/relay_life.rs
+++ b/standins/tests/relay_life.rs
@@ -274,10 +274,15 @@
 #[tokio::test]
 async fn a_killed_planner_fails_no_request() {
     let mut deployment = Deployment::start(3, 2).await.expect("deployment");
-    for daemon_index in 0..3 {
-        assert_eq!(deployment.get_status(daemon_index, "/look/x").await, 200);
-    }
-    let planner = planner_of(&deployment).expect("an instance plans for the others");
+    daemon::wait_until("an instance plans for the others", async || {
+        for daemon_index in 0..3 {
+            assert_eq!(deployment.get_status(daemon_index, "/look/x").await, 200);
+        }
+        planner_of(&deployment).is_some()
+    })
+    .await
+    .expect("the instances know each other");
+    let planner = planner_of(&deployment).expect("planner");
     deployment.daemons.remove(planner);
     for _ in 0..10 {
         for daemon_index in 0..2 {
