Log the memory of a pool when its planner refuses a prompt

A refusal for lack of memory didn't show whether the prefill set, the rest of the pool or the largest engine was short of memory. The planner's instance now writes `memory_lacking` with the free memory inside and outside the prefill set. No decision changes.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -104,7 +104,7 @@
     Verdict as ScreeningVerdict,
 };
 pub use plan::{AttemptResult, Helper, Plan, PlanRequest, PlanResult, ReportedPlan};
-pub use planner::Planner;
+pub use planner::{FreeMemory, Planner};
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
 pub use prompt_part::{PartId, Quarantine, QuarantineUpdate};
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -14,12 +14,15 @@
 mod helpers;
 mod ledger;
 mod long_prompt;
+mod memory;
 mod prefill_set;
 mod screening;
 mod upstream;
 
 use std::collections;
 
+pub use memory::FreeMemory;
+
 use crate::{engine, error, grant, name, part_screening, plan, unit, upstream_registry};
 
 /// A prompt whose prefill takes more than this fraction of the shortest gap is split into parts.
--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -26,6 +26,11 @@
 /// penalties, but such a lead is still preferred to refusing the request.
 const UNRELIABLE_COST_MS: f64 = 10_000.0;
 
+/// Returns the memory of an engine that plans may use.
+pub(super) fn usable_memory(timing: &engine::EngineTiming) -> unit::Tokens {
+    timing.memory().percent(USABLE_MEMORY_PERCENT)
+}
+
 impl planner::Planner {
     /// Plans a prompt that engines of the prefill set prefill for a lead, which decodes the stream.
     pub(super) fn plan_long_prompt(
@@ -38,7 +43,7 @@
         let prompt = request.size.prompt;
         self.prefill_set.add_demand(now, timing.prefill_ms(prompt));
         self.resize_prefill_set(now, Some(timing), request);
-        let usable_memory = timing.memory().percent(USABLE_MEMORY_PERCENT);
+        let usable_memory = usable_memory(timing);
         let (lead, fits) = self.choose_lead(now, timing, request, usable_memory, isolation)?;
         let candidates = self.helper_candidates(now, &lead, request)?;
         let reservations = if fits {
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -4,8 +4,8 @@
 use std::collections;
 
 use limpetkeel::{
-    PartDecision, Plan, PlanRequest, PlanResult, Planner, PoolName, QuarantineUpdate, ReportedPlan,
-    RequestId, Timestamp,
+    Error, PartDecision, Plan, PlanRequest, PlanResult, Planner, PoolName, QuarantineUpdate,
+    ReportedPlan, RequestId, Timestamp,
 };
 
 use crate::{
@@ -74,12 +74,32 @@
     let mut planners = shared.planners.lock();
     let planner = current_planner(now, &tables, &mut planners, &plan_request.pool);
     let planned = planner.plan(now, plan_request);
+    if let Err(Error::NoMemory) = planned {
+        log_free_memory(planner, plan_request);
+    }
     let screened = take_screened(planner);
     drop((planners, tables));
     publish_screened(shared, &plan_request.pool, screened);
     planned
 }
 
+/// Logs the memory of a pool that has too little for a prompt.
+fn log_free_memory(planner: &Planner, plan_request: &PlanRequest) {
+    let free = planner.free_memory(plan_request);
+    tracing::info!(
+        event = "memory_lacking",
+        pool = %plan_request.pool,
+        prompt_tokens = plan_request.size.prompt.0,
+        remaining_ms = plan_request.remaining.0,
+        prefill_engines = free.prefill_engines,
+        prefill_free = free.prefill.0,
+        prefill_largest = free.largest_prefill.0,
+        other_engines = free.other_engines,
+        other_free = free.other.0,
+        other_largest = free.largest_other.0,
+    );
+}
+
 /// What a planner has decided about parts of prompts.
 struct Screened {
     decisions: Vec<PartDecision>,
