Let long prompts wait in turn for memory and prefill capacity

Cause: a prompt for several engines asked every 40 ms for 2 s and found enough memory only by chance, since smaller prompts took what became free; the prefill set was sized by time and by the streams of its own leads, the division was even, and nothing bounded the prefill in progress, so that with more memory the prompts waited inside the engines, were cut for silence and repeated.

Change: prompts wait at the planner in the order in which their objectives fall due, with memory set aside for them; prefill in progress is bounded; who would wait too long is refused at once with the expected wait as Retry-After; the set is sized by memory as well; parts may be uneven and the lead keeps the rest; estimates contain the delay of the latest long prompts (DESIGN 17).

--- a/limpetkeel/src/engine.rs
+++ b/limpetkeel/src/engine.rs
@@ -104,4 +104,11 @@
             + context.0 as f64 / 1000.0 * self.0.context_ms_per_k;
         step * f64::from(self.0.steps_per_pass)
     }
+
+    /// Returns the time to decode `output` tokens of one of `streams` streams, in milliseconds;
+    /// `context` is the total of all streams.
+    pub fn decode_ms(&self, output: unit::Tokens, streams: usize, context: unit::Tokens) -> f64 {
+        let passes = output.0.div_ceil(u64::from(self.0.steps_per_pass));
+        passes as f64 * self.decode_pass_ms(streams, context)
+    }
 }
--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -96,8 +96,17 @@
     },
     /// The request cannot finish before its deadline.
     WouldMissDeadline,
-    /// No engine currently has enough free memory for the prompt.
-    NoMemory,
+    /// The engines lack memory or prefill capacity for the prompt. It keeps its turn while its
+    /// instance goes on asking.
+    AwaitingCapacity {
+        /// The time until the capacity is expected.
+        expected_in: unit::Millis,
+    },
+    /// The prompt would wait too long for memory or prefill capacity.
+    NoCapacity {
+        /// The time until capacity is expected.
+        retry_after: unit::Millis,
+    },
     /// Every engine that prefills long prompts already helps as many leads as it accepts.
     NoHelper,
     /// Upstreams crashed on a part of the prompt. Requests with it are held back.
@@ -192,7 +201,8 @@
             Error::InvalidDeclaration { .. } => "invalid_declaration",
             Error::RevisionConflict { .. } => "lost_race",
             Error::WouldMissDeadline => "would_miss_deadline",
-            Error::NoMemory => "no_memory",
+            Error::AwaitingCapacity { .. } => "awaiting_capacity",
+            Error::NoCapacity { .. } => "no_capacity",
             Error::NoHelper => "no_helper",
             Error::PartHeldBack { .. } => "part_held_back",
             Error::DeadlineWhileWaiting => "deadline_while_waiting",
@@ -235,7 +245,8 @@
             | Error::RunOnceKeyReused
             | Error::InvalidDeclaration { .. } => Category::Input,
             Error::WouldMissDeadline
-            | Error::NoMemory
+            | Error::AwaitingCapacity { .. }
+            | Error::NoCapacity { .. }
             | Error::NoHelper
             | Error::DeadlineWhileWaiting
             | Error::BodyBudgetExhausted
@@ -297,7 +308,16 @@
                     "the tables have changed since; the current revision is {current}"
                 )
             }
-            Error::NoMemory => f.write_str("no engine has memory for the prompt now"),
+            Error::AwaitingCapacity { expected_in } => {
+                write!(
+                    f,
+                    "the engines have capacity for the prompt in {expected_in}"
+                )
+            }
+            Error::NoCapacity { retry_after } => write!(
+                f,
+                "the engines have no capacity for the prompt for {retry_after}"
+            ),
             Error::NoHelper => f.write_str("no engine can prefill a part of the prompt now"),
             Error::PartHeldBack { retry_after } => write!(
                 f,
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -19,6 +19,10 @@
     pub objective: ingress::LatencyObjective,
     /// The time until the deadline. It is a duration since instances do not share a clock.
     pub remaining: unit::Millis,
+    /// Identifies the request while it waits for its turn. It is the same in all of its plan requests.
+    pub waiting_id: grant::RequestId,
+    /// The time since the instance received the request.
+    pub waited: unit::Millis,
     /// The upstreams that failed or declined the request. They are used only if no other one is
     /// left.
     pub excluded_upstreams: Vec<name::UpstreamName>,
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -1,6 +1,7 @@
 //! Plans on which upstreams the relayed requests of one pool run.
 //!
-//! A planner never queues a request. It keeps a ledger of its plans: the prefill backlog of each
+//! A planner does not hold requests: it plans a request or refuses it. A prompt that waits for the
+//! memory of several engines keeps its turn while its instance goes on asking. The planner keeps a ledger of its plans: the prefill backlog of each
 //! engine, the streams that it decodes and the memory that they use. Instances report the end of a
 //! plan; a plan whose end is not reported expires. Two planners for one pool only lead to worse
 //! plans, since every upstream does its own admission control.
@@ -15,9 +16,11 @@
 mod ledger;
 mod long_prompt;
 mod memory;
+mod prefill_queue;
 mod prefill_set;
 mod screening;
 mod upstream;
+mod waiting;
 
 use std::collections;
 
@@ -70,6 +73,8 @@
     health: health::UpstreamHealth,
     plans: collections::BTreeMap<grant::RequestId, ledger::PlanRecord>,
     screening: part_screening::PartScreening,
+    waiting: waiting::WaitingList,
+    prefill_delay: prefill_queue::PrefillDelay,
     registry_generation: Option<u64>,
     quarantine_generation: Option<u64>,
 }
@@ -86,6 +91,8 @@
             health: health::UpstreamHealth::default(),
             plans: collections::BTreeMap::new(),
             screening: part_screening::PartScreening::default(),
+            waiting: waiting::WaitingList::default(),
+            prefill_delay: prefill_queue::PrefillDelay::default(),
             registry_generation: None,
             quarantine_generation: None,
         }
@@ -105,6 +112,8 @@
                 .iter()
                 .any(|entry| entry.name == *name && entry.start_time == upstream.start_time())
         });
+        self.waiting
+            .retain_listed(|name| self.upstreams.contains_key(name));
         for entry in ready {
             self.upstreams
                 .entry(entry.name.clone())
@@ -131,8 +140,9 @@
     /// Returns [`error::Error::NoUpstream`] if the pool has no upstream,
     /// [`error::Error::UpstreamsUnavailable`] if the request may use none of them,
     /// [`error::Error::PromptTooLong`] if the prompt exceeds the plannable memory of the pool,
-    /// [`error::Error::NoMemory`] if its parts do not fit into the free memory,
-    /// [`error::Error::NoHelper`] if no engine accepts a part of it,
+    /// [`error::Error::AwaitingCapacity`] if it has to wait for memory or prefill capacity,
+    /// [`error::Error::NoCapacity`] if it would have to wait too long, [`error::Error::NoHelper`] if
+    /// no engine accepts a part of it,
     /// [`error::Error::PartHeldBack`] if upstreams crashed on a part of the prompt, and
     /// [`error::Error::WouldMissDeadline`] if the estimate of a request that one upstream serves
     /// alone leaves too little of its remaining time.
@@ -142,6 +152,7 @@
         request: &plan::PlanRequest,
     ) -> error::Result<plan::Plan> {
         self.release_expired(now);
+        self.waiting.remove_expired(now);
         let isolation = self.screen(now, request)?;
         let plan = match self.timing {
             Some(timing) if self.is_long(request.size.prompt) => {
@@ -149,6 +160,7 @@
             }
             timing => self.plan_single(now, timing.as_ref(), request, isolation)?,
         };
+        self.waiting.remove(request.waiting_id);
         if let Some(lead) = self.upstreams.get(&plan.lead.upstream) {
             let (from, zone) = (&request.availability_zone, lead.availability_zone());
             self.health.record_trial(now, from, zone);
@@ -237,7 +249,8 @@
                 is_available(request, upstream) && health.is_reliable(now, zone, upstream)
             },
         };
-        self.prefill_set.resize(now, timing, &reachable);
+        self.prefill_set
+            .resize(now, timing, &reachable, self.waiting.demand());
     }
 
     /// Returns the available and reachable upstreams that the request has not tried yet.
--- a/limpetkeel/src/planner/helpers.rs
+++ b/limpetkeel/src/planner/helpers.rs
@@ -149,13 +149,11 @@
         lead: &grant::UpstreamAddress,
         request: &'a plan::PlanRequest,
     ) -> error::Result<Vec<&'a upstream::Upstream>> {
-        let zone = &request.availability_zone;
         let (accepting, full): (Vec<_>, Vec<_>) = self
             .candidates(now, request)
             .filter(|upstream| self.prefill_set.contains(upstream.name()))
             .filter(|upstream| *upstream.name() != lead.upstream)
-            .filter(|upstream| self.health.is_reliable(now, zone, upstream))
-            .filter(|upstream| self.health.failure_rate(now, upstream.name()) < MAX_FAILURE_RATE)
+            .filter(|upstream| self.can_help(now, request, upstream))
             .partition(|upstream| upstream.accepts_part());
         if accepting.is_empty() && !full.is_empty() {
             return Err(error::Error::NoHelper);
@@ -163,6 +161,19 @@
         Ok(accepting)
     }
 
+    /// Returns `true` if an engine may prefill a part of the prompt of a request.
+    pub(super) fn can_help(
+        &self,
+        now: unit::Timestamp,
+        request: &plan::PlanRequest,
+        upstream: &upstream::Upstream,
+    ) -> bool {
+        let zone = &request.availability_zone;
+        planner::is_available(request, upstream)
+            && self.health.is_reliable(now, zone, upstream)
+            && self.health.failure_rate(now, upstream.name()) < MAX_FAILURE_RATE
+    }
+
     /// Chooses the helpers of a lead: the division with the lowest cost, which weighs the time of
     /// the prefill against the streams that it delays and the number of parts.
     pub(super) fn choose_helpers(
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -3,12 +3,20 @@
 use crate::{
     grant, name, part_screening, plan,
     planner::{self, health, upstream},
-    prompt_part, unit,
+    prompt_part, request_size, unit,
 };
 
 /// How long after the deadline of its request a plan expires if its end is not reported.
 const EXPIRY_GRACE: unit::Millis = unit::Millis(500);
 
+/// The percentage of the allowed output that a response is expected to have.
+const EXPECTED_OUTPUT_PERCENT: u8 = 50;
+
+/// Returns the expected output of a request.
+pub(super) fn expected_output(size: request_size::RequestSize) -> unit::Tokens {
+    size.output.percent(EXPECTED_OUTPUT_PERCENT)
+}
+
 /// A plan that has not ended, and the upstreams whose resources it uses.
 #[derive(Debug)]
 pub(super) struct PlanRecord {
@@ -19,6 +27,12 @@
     pub(super) planned_at: unit::Timestamp,
     /// The expected time from the plan to the first token.
     pub(super) estimate: unit::Millis,
+    /// The delay of long prompts that is included in the estimate, in milliseconds.
+    prefill_delay_ms: f64,
+    /// The time to decode the complete response.
+    decode: unit::Millis,
+    /// When the response is expected to end, which frees the memory.
+    pub(super) expected_end: unit::Timestamp,
     pub(super) expires_at: unit::Timestamp,
     /// The parts of the prompt that other requests may share.
     pub(super) parts: Vec<prompt_part::PartId>,
@@ -27,6 +41,18 @@
     pub(super) response_begun: bool,
 }
 
+impl PlanRecord {
+    /// Returns `true` if several engines prefill the prompt and the response has not begun.
+    pub(super) fn is_prefilling(&self) -> bool {
+        self.participants.len() > 1 && !self.response_begun
+    }
+
+    /// Returns the time to prefill the complete prompt, in milliseconds.
+    pub(super) fn prefill_ms(&self) -> f64 {
+        self.part_ms * self.participants.len() as f64
+    }
+}
+
 impl planner::Planner {
     /// Records a plan of another planner; a known plan is ignored.
     pub fn record_reported_plan(
@@ -89,11 +115,26 @@
         if reported_plan.response_begun {
             self.screening.record_response(&reported_plan.parts);
         }
+        let lead_streams = self.upstreams.get(&plan.lead.upstream);
+        let decode = self.timing.zip(lead_streams).map(|(timing, lead)| {
+            let output = expected_output(*size);
+            let decode_ms = timing.decode_ms(output, lead.stream_count(), lead.memory());
+            unit::Millis(decode_ms as u64)
+        });
+        let decode = decode.unwrap_or_default();
+        let until_first_token = if reported_plan.response_begun {
+            unit::Millis::ZERO
+        } else {
+            plan.estimate
+        };
         let record = PlanRecord {
             participants,
             part_ms,
             planned_at: now,
             estimate: plan.estimate,
+            prefill_delay_ms: self.prefill_delay.ms(now),
+            decode,
+            expected_end: now.after(until_first_token + decode),
             expires_at: now.after(reported_plan.remaining + EXPIRY_GRACE),
             parts: reported_plan.parts.clone(),
             lead: lead_lifetime,
@@ -111,6 +152,7 @@
             return;
         };
         record.response_begun = true;
+        record.expected_end = now.after(record.decode);
         self.screening.record_response(&record.parts);
         for name in &record.participants {
             if let Some(upstream) = self.upstreams.get_mut(name) {
@@ -121,10 +163,14 @@
         let elapsed = now.since(record.planned_at).0 as f64;
         let delay = elapsed - record.estimate.0 as f64;
         // With helpers, the delay cannot be attributed to one engine.
-        if let [lead] = &record.participants[..]
-            && let Some(upstream) = self.upstreams.get_mut(lead)
-        {
-            upstream.record_delay(now, delay);
+        if let [lead] = &record.participants[..] {
+            if let Some(upstream) = self.upstreams.get_mut(lead) {
+                upstream.record_delay(now, delay);
+            }
+        } else {
+            // The estimate includes the delay that was known then.
+            self.prefill_delay
+                .record(now, delay + record.prefill_delay_ms);
         }
     }
 
--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     engine, error, grant, plan,
-    planner::{self, PREFILL_SET_COST_MS, helpers, screening, upstream},
+    planner::{self, PREFILL_SET_COST_MS, helpers, memory, screening, upstream},
     unit,
 };
 
@@ -22,6 +22,10 @@
 /// that of a lead in the prefill set, since the reservations on other engines may fail.
 const INSUFFICIENT_MEMORY_COST_MS: f64 = 10.0 * PREFILL_SET_COST_MS;
 
+/// The cost of a lead on which memory is set aside for the request, in milliseconds. The memory is
+/// meant for a part.
+const HELD_PART_COST_MS: f64 = INSUFFICIENT_MEMORY_COST_MS;
+
 /// The cost of a lead that could not be reached recently, in milliseconds. It exceeds the other
 /// penalties, but such a lead is still preferred to refusing the request.
 const UNRELIABLE_COST_MS: f64 = 10_000.0;
@@ -41,15 +45,21 @@
         isolation: screening::Isolation,
     ) -> error::Result<plan::Plan> {
         let prompt = request.size.prompt;
-        self.prefill_set.add_demand(now, timing.prefill_ms(prompt));
+        if !self.waiting.contains(request.waiting_id) {
+            self.prefill_set.add_demand(now, timing.prefill_ms(prompt));
+        }
         self.resize_prefill_set(now, Some(timing), request);
+        self.check_prefill(now, timing, request)?;
         let usable_memory = usable_memory(timing);
         let (lead, fits) = self.choose_lead(now, timing, request, usable_memory, isolation)?;
         let candidates = self.helper_candidates(now, &lead, request)?;
         let reservations = if fits {
-            Vec::new()
+            Some(Vec::new())
         } else {
-            self.choose_reservations(&candidates, prompt, usable_memory)?
+            self.choose_reservations(now, &candidates, &lead, request, usable_memory)
+        };
+        let Some(reservations) = reservations else {
+            return Err(self.wait_for_memory(now, timing, request, &lead));
         };
         let helper_request = helpers::HelperRequest {
             prompt,
@@ -62,7 +72,7 @@
             id: request.id,
             lead,
             helpers: selection.helpers,
-            estimate: unit::Millis(selection.finish_ms as u64),
+            estimate: unit::Millis((selection.finish_ms + self.prefill_delay.ms(now)) as u64),
         })
     }
 
@@ -77,9 +87,14 @@
         isolation: screening::Isolation,
     ) -> error::Result<(grant::UpstreamAddress, bool)> {
         let fits = |upstream: &upstream::Upstream| {
-            upstream.free_memory(usable_memory) >= request.size.memory()
+            self.free_for(now, request, upstream, usable_memory) >= request.size.memory()
         };
         let zone = &request.availability_zone;
+        let set_aside = self.waiting.parts(request.waiting_id);
+        let holds_part = |upstream: &upstream::Upstream| {
+            let mut parts = set_aside.iter();
+            parts.any(|part| part.upstream == *upstream.name())
+        };
         let part = timing.prefill_part_ms(request.size.prompt, ASSUMED_PARTS);
         let cost = |upstream: &upstream::Upstream| {
             let in_prefill_set = self.prefill_set.contains(upstream.name());
@@ -96,6 +111,11 @@
                 } else {
                     INSUFFICIENT_MEMORY_COST_MS
                 }
+                + if holds_part(upstream) {
+                    HELD_PART_COST_MS
+                } else {
+                    0.0
+                }
                 + if self.health.is_reliable(now, zone, upstream) {
                     0.0
                 } else {
@@ -114,44 +134,41 @@
     }
 
     /// Chooses the engines that reserve memory for a prompt that does not fit into the memory of its
-    /// lead: as few engines of the prefill set as possible.
+    /// lead: as few engines of the prefill set as possible. What they lack stays on the lead.
     ///
-    /// The parts are so large that they would stall the streams of engines outside the set.
+    /// The parts are so large that they would stall the streams of engines outside the set. Returns
+    /// `None` if the engines have too little memory.
     fn choose_reservations(
         &self,
+        now: unit::Timestamp,
         candidates: &[&upstream::Upstream],
-        prompt: unit::Tokens,
+        lead: &grant::UpstreamAddress,
+        request: &plan::PlanRequest,
         usable_memory: unit::Tokens,
-    ) -> error::Result<Vec<plan::Helper>> {
-        divide_memory(prompt, candidates.to_vec(), usable_memory).ok_or_else(|| {
-            let pool_memory = unit::Tokens(usable_memory.0 * self.upstreams.len() as u64);
-            if prompt > pool_memory {
-                error::Error::PromptTooLong(pool_memory)
-            } else {
-                error::Error::NoMemory
-            }
-        })
+    ) -> Option<Vec<plan::Helper>> {
+        let prompt = request.size.prompt;
+        let free_for = |upstream| self.free_for(now, request, upstream, usable_memory);
+        let engines = || {
+            let engines = candidates.iter().map(|upstream| memory::EngineMemory {
+                upstream,
+                free: free_for(upstream),
+            });
+            engines.filter(|engine| engine.free.0 > 0).collect()
+        };
+        let on_lead = || {
+            let lead_free = self.upstreams.get(&lead.upstream).map(free_for);
+            lead_free
+                .unwrap_or_default()
+                .saturating_sub(request.size.output)
+        };
+        let parts = memory::divide(prompt, engines(), helpers::MAX_HELPERS).or_else(|| {
+            let rest = prompt.saturating_sub(on_lead());
+            memory::divide(rest, engines(), helpers::MAX_HELPERS)
+        })?;
+        let helpers = parts.iter().map(|part| plan::Helper {
+            engine: part.upstream.address(),
+            reserve: Some(part.free),
+        });
+        Some(helpers.collect())
     }
 }
-
-/// Divides the memory of a prompt evenly among the fewest engines that have enough free memory.
-///
-/// Returns `None` if there is no such division.
-fn divide_memory(
-    prompt: unit::Tokens,
-    mut engines: Vec<&upstream::Upstream>,
-    usable_memory: unit::Tokens,
-) -> Option<Vec<plan::Helper>> {
-    engines.sort_by_key(|upstream| std::cmp::Reverse(upstream.free_memory(usable_memory)));
-    let fewest = prompt.0.div_ceil(usable_memory.0.max(1)).max(1) as usize;
-    let counts = fewest..=engines.len().min(helpers::MAX_HELPERS);
-    let part = |count: usize| unit::Tokens(prompt.0.div_ceil(count as u64));
-    let mut feasible =
-        counts.filter(|count| engines[count - 1].free_memory(usable_memory) >= part(*count));
-    let count = feasible.next()?;
-    let helpers = engines.iter().take(count).map(|upstream| plan::Helper {
-        engine: upstream.address(),
-        reserve: Some(part(count)),
-    });
-    Some(helpers.collect())
-}
--- a/limpetkeel/src/planner/prefill_set.rs
+++ b/limpetkeel/src/planner/prefill_set.rs
@@ -4,7 +4,11 @@
 
 use xxhash_rust::xxh3;
 
-use crate::{engine, name, planner::upstream, unit};
+use crate::{
+    engine, name,
+    planner::{long_prompt, upstream},
+    unit,
+};
 
 /// The time constant of the demand average, in milliseconds. A burst is visible within a second.
 const DEMAND_TIME_CONSTANT_MS: f64 = 2_000.0;
@@ -15,10 +19,14 @@
 /// The prefill backlog of the set for which one more engine joins it, in milliseconds.
 const BACKLOG_PER_ENGINE_MS: f64 = 500.0;
 
+/// The fraction of the memory of the set that long prompts should use.
+const MAX_MEMORY_FRACTION: f64 = 0.75;
+
 /// The shortest time between two removals of an engine from the set.
 const SHRINK_INTERVAL: unit::Millis = unit::Millis(400);
 
-/// The largest fraction of its slots that an engine outside the set should use for streams.
+/// The largest fraction of its slots that an engine outside the set should use for streams with
+/// short prompts.
 const MAX_STREAM_FRACTION: f64 = 0.75;
 
 /// The fraction of the engines that always stays outside the set.
@@ -90,6 +98,11 @@
         self.members.contains(name)
     }
 
+    /// Returns the number of engines in the set.
+    pub(super) fn len(&self) -> usize {
+        self.members.len()
+    }
+
     /// Adds the prefill of a long prompt to the demand.
     pub(super) fn add_demand(&mut self, now: unit::Timestamp, prefill_ms: f64) {
         self.decay_demand(now);
@@ -103,7 +116,8 @@
         self.demand_updated = now;
     }
 
-    /// Adapts the size of the set to the demand. It grows to its target at once and shrinks by one
+    /// Adapts the size of the set to the demand for prefill and for memory, of which the waiting
+    /// prompts need `waiting_memory`. It grows to its target at once and shrinks by one
     /// engine per [`SHRINK_INTERVAL`].
     ///
     /// Only reachable engines count, so that a partitioned zone has enough engines in the set.
@@ -112,12 +126,14 @@
         now: unit::Timestamp,
         timing: &engine::EngineTiming,
         reachable: &ReachableUpstreams<'_>,
+        waiting_memory: unit::Tokens,
     ) {
         self.decay_demand(now);
-        let (mut engines, mut streams) = (0_usize, 0);
+        let (mut engines, mut streams, mut memory) = (0_usize, 0, waiting_memory);
         for upstream in reachable.iter() {
             engines += 1;
-            streams += upstream.stream_count();
+            streams += upstream.stream_count_of(upstream::PromptLength::Short);
+            memory += upstream.long_prompt_memory();
         }
         let members = || self.members.iter().filter_map(|name| reachable.get(name));
         let size = members().count();
@@ -127,8 +143,11 @@
         let outside = decoders.max((engines as f64 * OUTSIDE_FRACTION).ceil() as usize);
         let max_size = engines.saturating_sub(outside);
         let min_size = ((engines as f64 * MIN_FRACTION).ceil() as usize).min(max_size);
-        let needed =
+        let by_time =
             (self.demand * SIZE_HEADROOM + backlog_ms / BACKLOG_PER_ENGINE_MS).ceil() as usize;
+        let usable_memory = long_prompt::usable_memory(timing).0.max(1) as f64;
+        let by_memory = (memory.0 as f64 / usable_memory / MAX_MEMORY_FRACTION).ceil() as usize;
+        let needed = by_time.max(by_memory);
         let target = needed.clamp(min_size, max_size.max(min_size));
         for _ in size..target {
             let Some(name) = self.choose_next(reachable) else {
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -27,6 +27,16 @@
     pub(super) max_gap: unit::Millis,
 }
 
+impl Stream {
+    /// Returns the memory if several engines prefill the prompt, otherwise zero.
+    fn long_prompt_memory(&self) -> unit::Tokens {
+        match self.prompt_length {
+            PromptLength::Short => unit::Tokens::ZERO,
+            PromptLength::Long => self.memory,
+        }
+    }
+}
+
 /// An upstream and the planned requests on it.
 #[derive(Debug)]
 pub(super) struct Upstream {
@@ -41,6 +51,8 @@
     trials: collections::BTreeSet<grant::RequestId>,
     /// The memory of all streams and reservations.
     memory: unit::Tokens,
+    /// The part of `memory` that belongs to prompts that several engines prefill.
+    long_prompt_memory: unit::Tokens,
     /// How much later than estimated responses begin, in milliseconds, and when it was updated.
     delay: (f64, unit::Timestamp),
 }
@@ -65,6 +77,7 @@
             parts: collections::BTreeSet::new(),
             trials: collections::BTreeSet::new(),
             memory: unit::Tokens::ZERO,
+            long_prompt_memory: unit::Tokens::ZERO,
             delay: (0.0, unit::Timestamp::ZERO),
         }
     }
@@ -164,6 +177,23 @@
         capacity.saturating_sub(self.memory)
     }
 
+    /// Returns the memory of all streams and reservations.
+    pub(super) fn memory(&self) -> unit::Tokens {
+        self.memory
+    }
+
+    /// Returns the memory of each plan.
+    pub(super) fn memory_uses(&self) -> impl Iterator<Item = (grant::RequestId, unit::Tokens)> {
+        let streams = self.streams.iter().map(|(id, stream)| (*id, stream.memory));
+        let reservations = self.reservations.iter().map(|(id, memory)| (*id, *memory));
+        streams.chain(reservations)
+    }
+
+    /// Returns the memory of the prompts that several engines prefill.
+    pub(super) fn long_prompt_memory(&self) -> unit::Tokens {
+        self.long_prompt_memory
+    }
+
     /// Returns the time of the planned prefill that is not complete yet, in milliseconds.
     pub(super) fn backlog_ms(&self, now: unit::Timestamp) -> f64 {
         (self.prefill_until_ms - now.0 as f64).max(0.0)
@@ -211,12 +241,14 @@
     /// Adds a stream and its memory.
     pub(super) fn add_stream(&mut self, id: grant::RequestId, stream: Stream) {
         self.memory += stream.memory;
+        self.long_prompt_memory += stream.long_prompt_memory();
         self.streams.insert(id, stream);
     }
 
     /// Reserves memory for a part of a prompt.
     pub(super) fn reserve(&mut self, id: grant::RequestId, memory: unit::Tokens) {
         self.memory += memory;
+        self.long_prompt_memory += memory;
         self.reservations.insert(id, memory);
     }
 
@@ -257,9 +289,14 @@
     pub(super) fn release(&mut self, id: grant::RequestId) {
         self.parts.remove(&id);
         self.trials.remove(&id);
-        let freed = self.streams.remove(&id).map(|stream| stream.memory);
-        let freed = freed.into_iter();
-        let freed: unit::Tokens = freed.chain(self.reservations.remove(&id)).sum();
-        self.memory = self.memory.saturating_sub(freed);
+        let stream = self.streams.remove(&id);
+        let reserved = self.reservations.remove(&id).unwrap_or_default();
+        let (freed, freed_long) = stream.map_or_else(Default::default, |stream| {
+            (stream.memory, stream.long_prompt_memory())
+        });
+        self.memory = self.memory.saturating_sub(freed + reserved);
+        self.long_prompt_memory = self
+            .long_prompt_memory
+            .saturating_sub(freed_long + reserved);
     }
 }
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -38,6 +38,8 @@
     pub unavailable_upstreams: prometheus::IntCounterVec,
     /// Memory reservations on engines, by result.
     pub reservations: prometheus::IntCounterVec,
+    /// Requests with long prompts that waited for memory or prefill capacity.
+    pub capacity_waits: prometheus::IntCounter,
     /// Log lines dropped because the log queue was full.
     pub dropped_log_lines: prometheus::IntGauge,
 }
@@ -122,6 +124,10 @@
                 "limpetkeel_log_lines_left_out",
                 "Log lines left out since the start because their queue was full.",
             )?,
+            capacity_waits: registrar.counter(
+                "limpetkeel_relay_capacity_waits_total",
+                "Requests with long prompts that waited for memory or prefill capacity.",
+            )?,
             reservations: registrar.counter_vec(
                 "limpetkeel_relay_reservations_total",
                 "Reservations of engine memory, by result.",
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -85,22 +85,25 @@
     request: &caller_request::CallerRequest,
     remaining: Millis,
     estimate: Millis,
+    has_helpers: bool,
     last: bool,
 ) -> time::Duration {
     let route = &request.admission.route;
     let objective = route.objective().first_event;
-    if last || route.retry_policy() == RetryPolicy::Never {
+    let max_timeout = caller_request::scale(remaining, MAX_TIMEOUT_SHARE);
+    let estimate_timeout = caller_request::scale(estimate, ESTIMATE_TIMEOUT_FACTOR);
+    // A retry would prefill the complete prompt again and take as long.
+    let too_late_for_retry = has_helpers && max_timeout < estimate_timeout;
+    if last || too_late_for_retry || route.retry_policy() == RetryPolicy::Never {
         return (remaining + LAST_ATTEMPT_MARGIN).duration();
     }
     let timeout = match route.form() {
         ResponseForm::Complete => caller_request::scale(objective, COMPLETE_TIMEOUT_FACTOR),
         ResponseForm::Stream => caller_request::scale(objective, FIRST_EVENT_TIMEOUT_FACTOR)
-            .max(caller_request::scale(estimate, ESTIMATE_TIMEOUT_FACTOR))
+            .max(estimate_timeout)
             .max(MIN_FIRST_EVENT_TIMEOUT),
     };
-    timeout
-        .min(caller_request::scale(remaining, MAX_TIMEOUT_SHARE))
-        .duration()
+    timeout.min(max_timeout).duration()
 }
 
 /// Builds the request to the lead upstream.
@@ -157,7 +160,9 @@
     drain::limit_deadline(shared, relayed);
     let remaining = relayed.deadline().since(shared.clock.now());
     let last = !retry_budget::may_retry(shared, relayed);
-    let timeout = response_timeout(request, remaining, relayed.plan().estimate, last);
+    let plan = relayed.plan();
+    let has_helpers = !plan.helpers.is_empty();
+    let timeout = response_timeout(request, remaining, plan.estimate, has_helpers, last);
     let response_deadline = tokio::time::Instant::now() + timeout;
     let req = build_request(shared, request, relayed, context.helpers, remaining);
     let process = availability::process_at(shared, &relayed.info().pool, &relayed.plan().lead);
--- a/limpetkeeld/src/relay/caller_request.rs
+++ b/limpetkeeld/src/relay/caller_request.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use bytes::Bytes;
-use limpetkeel::{Admission, Millis};
+use limpetkeel::{Admission, Millis, RequestId};
 
 use crate::relay::{port, shared};
 
@@ -19,6 +19,8 @@
     pub admission: Admission,
     /// The version of the routing table that admitted the request.
     pub version: u64,
+    /// Identifies the request to planners while it waits for its turn.
+    pub waiting_id: RequestId,
     /// Whether the pool consists of model engines.
     pub targets_engine: bool,
 }
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -7,7 +7,7 @@
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
 use limpetkeel::{
-    Denial, Millis, RelayedRequest, RelayedRequestInfo, RequestLimits, Routed, Timestamp,
+    Denial, Millis, RelayedRequest, RelayedRequestInfo, RequestId, RequestLimits, Routed, Timestamp,
 };
 use tokio::sync::oneshot;
 
@@ -162,6 +162,7 @@
     };
     let relayed = RelayedRequest::new(info, received, deadline, head.resume_after);
     let request = caller_request::CallerRequest {
+        waiting_id: RequestId(rand::random()),
         head,
         parts,
         body,
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -74,7 +74,7 @@
     let mut planners = shared.planners.lock();
     let planner = current_planner(now, &tables, &mut planners, &plan_request.pool);
     let planned = planner.plan(now, plan_request);
-    if let Err(Error::NoMemory) = planned {
+    if let Err(Error::NoCapacity { .. }) = planned {
         log_free_memory(planner, plan_request);
     }
     let screened = take_screened(planner);
@@ -83,11 +83,11 @@
     planned
 }
 
-/// Logs the memory of a pool that has too little for a prompt.
+/// Logs the memory of a pool that refuses a prompt.
 fn log_free_memory(planner: &Planner, plan_request: &PlanRequest) {
     let free = planner.free_memory(plan_request);
     tracing::info!(
-        event = "memory_lacking",
+        event = "capacity_lacking",
         pool = %plan_request.pool,
         prompt_tokens = plan_request.size.prompt.0,
         remaining_ms = plan_request.remaining.0,
@@ -97,6 +97,8 @@
         other_engines = free.other_engines,
         other_free = free.other.0,
         other_largest = free.largest_other.0,
+        waiting = free.waiting_prompts,
+        set_aside = free.set_aside.0,
     );
 }
 
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -1,7 +1,7 @@
 //! Prepares an attempt: obtains its plan, connects to the lead upstream and reserves memory on the
 //! helpers.
 
-use std::{sync, time};
+use std::{mem, sync, time};
 
 use limpetkeel::{
     AttemptResult, Error, Millis, PlacedRelayedRequest, Plan, PlanRequest, RelayedRequest,
@@ -15,11 +15,15 @@
 /// Time between plan requests while the pool has no capacity.
 const REPLAN_INTERVAL: time::Duration = time::Duration::from_millis(40);
 
-/// Maximum time a request waits for capacity, as a share of its objective and capped by
-/// [`MAX_CAPACITY_WAIT`]. The caller then receives a refusal with a retry delay.
+/// Maximum time between plan requests while a prompt waits for its turn. A few of them fit into the
+/// time for which the planner keeps it.
+const MAX_REPLAN_INTERVAL: time::Duration = time::Duration::from_millis(120);
+
+/// Maximum time a request waits for an upstream or a helper, as a share of its objective and capped
+/// by [`MAX_CAPACITY_WAIT`]. The caller then receives a refusal with a retry delay.
 const CAPACITY_WAIT_RATIO: f64 = 0.5;
 
-/// Upper bound on the time a request waits for capacity.
+/// Upper bound on the time a request waits for an upstream or a helper.
 const MAX_CAPACITY_WAIT: Millis = Millis(2_000);
 
 /// The reason why a plan could not be used.
@@ -32,7 +36,8 @@
     pub reason: &'static str,
 }
 
-/// Obtains a plan. While the pool has no capacity, waits for a share of the objective.
+/// Obtains a plan. While the pool has no upstream or no helper, waits for a share of the objective. A
+/// prompt that waits for its turn does so until the planner refuses it.
 ///
 /// # Errors
 ///
@@ -46,6 +51,7 @@
     let wait = Millis((objective.first_event.0 as f64 * CAPACITY_WAIT_RATIO) as u64)
         .min(MAX_CAPACITY_WAIT);
     let wait_until = shared.clock.now().after(wait);
+    let mut is_waiting = false;
     loop {
         drain::limit_deadline(shared, relayed);
         let now = shared.clock.now();
@@ -57,6 +63,8 @@
             parts: request.head.parts.clone(),
             objective,
             remaining: relayed.deadline().since(now),
+            waiting_id: request.waiting_id,
+            waited: now.since(relayed.received()),
             excluded_upstreams: relayed.tried_upstreams().to_vec(),
             unavailable_upstreams: availability::unavailable_upstreams(
                 shared,
@@ -67,28 +75,47 @@
             Ok(planned) => return Ok(planned),
             Err(e) => e,
         };
-        let retryable = matches!(
-            refusal,
-            Error::NoMemory | Error::NoHelper | Error::NoUpstream(_)
-        );
-        if !retryable || shared.clock.now() >= wait_until {
-            tracing::info!(
-                event = "plan_refused",
-                request = %request.head.id,
-                pool = %plan_request.pool,
-                error = %refusal,
-            );
-            return Err(match refusal {
-                Error::PartHeldBack { retry_after } => {
-                    request_summary::FailureReason::PartHeldBack { retry_after }
+        let interval = match refusal {
+            Error::AwaitingCapacity { expected_in } => {
+                if !mem::replace(&mut is_waiting, true) {
+                    log_waiting(shared, request, expected_in);
                 }
-                _ => request_summary::FailureReason::NoPlan,
-            });
-        }
-        tokio::time::sleep(REPLAN_INTERVAL).await;
+                expected_in
+                    .duration()
+                    .clamp(REPLAN_INTERVAL, MAX_REPLAN_INTERVAL)
+            }
+            Error::NoHelper | Error::NoUpstream(_) if shared.clock.now() < wait_until => {
+                REPLAN_INTERVAL
+            }
+            _ => {
+                tracing::info!(
+                    event = "plan_refused",
+                    request = %request.head.id,
+                    pool = %plan_request.pool,
+                    error = %refusal,
+                );
+                return Err(request_summary::FailureReason::from_refusal(&refusal));
+            }
+        };
+        tokio::time::sleep(interval).await;
     }
 }
 
+/// Logs and counts that a prompt waits for its turn.
+fn log_waiting(
+    shared: &shared::Shared,
+    request: &caller_request::CallerRequest,
+    expected_in: Millis,
+) {
+    shared.metrics.relay.capacity_waits.inc();
+    tracing::info!(
+        event = "awaiting_capacity",
+        request = %request.head.id,
+        prompt_tokens = request.head.size.prompt.0,
+        expected_ms = expected_in.0,
+    );
+}
+
 /// Connects to the lead upstream and reserves memory on its helpers.
 ///
 /// # Errors
--- a/limpetkeeld/src/relay/request_summary.rs
+++ b/limpetkeeld/src/relay/request_summary.rs
@@ -2,7 +2,8 @@
 //! the middle of a step.
 
 use limpetkeel::{
-    Millis, NoRetryReason, Outcome, Plan, PoolName, RelayedRequest, Routed, Timestamp, UpstreamName,
+    Error, Millis, NoRetryReason, Outcome, Plan, PoolName, RelayedRequest, Routed, Timestamp,
+    UpstreamName,
 };
 
 use crate::relay::{availability, caller_request, port, response_writer, shared};
@@ -20,6 +21,11 @@
         /// The time until a request with the part may be admitted.
         retry_after: Millis,
     },
+    /// The prompt would have waited too long for the memory or the prefill capacity of engines.
+    NoCapacity {
+        /// The time until capacity is expected.
+        retry_after: Millis,
+    },
     /// Connecting to upstreams or reserving memory on them failed too often.
     Unreachable,
     /// A retry is not allowed.
@@ -33,11 +39,21 @@
 }
 
 impl FailureReason {
+    /// Returns the reason that corresponds to the refusal of a planner.
+    pub fn from_refusal(refusal: &Error) -> FailureReason {
+        match *refusal {
+            Error::PartHeldBack { retry_after } => FailureReason::PartHeldBack { retry_after },
+            Error::NoCapacity { retry_after } => FailureReason::NoCapacity { retry_after },
+            _ => FailureReason::NoPlan,
+        }
+    }
+
     /// Returns the code used in metrics and logs.
     pub fn code(self) -> &'static str {
         match self {
             FailureReason::NoPlan => "no_plan",
             FailureReason::PartHeldBack { .. } => "part_held_back",
+            FailureReason::NoCapacity { .. } => "no_capacity",
             FailureReason::Unreachable => "unreached",
             FailureReason::NoRetry(NoRetryReason::MayHaveRun) => "may_have_run",
             FailureReason::NoRetry(NoRetryReason::MaxSendsReached) => "sends_used",
@@ -163,6 +179,9 @@
             (false, FailureReason::PartHeldBack { retry_after }) => {
                 port::Refusal::NotRun(retry_after)
             }
+            (false, FailureReason::NoCapacity { retry_after }) => {
+                port::Refusal::NotRun(retry_after.max(RETRY_AFTER))
+            }
             (false, _) => {
                 let pool_pause = availability::pool_pause(shared, pool);
                 port::Refusal::NotRun(pool_pause.unwrap_or(RETRY_AFTER))
