Keep within the request limits that upstreams name

Cause: the header was not decoded, and what an upstream says stayed with the instance that heard it, while the planner of the pool plans for all.

Change: platform/ decodes the limit; an instance adds what it has heard to its plan requests; the planner spaces the requests to a limited upstream, divides the limit if it plans without the other planners, lets requests wait briefly in the order of their objectives if all upstreams are limited, and refuses the rest at once.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -56,6 +56,7 @@
 mod rank;
 mod relayed_request;
 mod request;
+mod request_limit;
 mod request_size;
 mod retry_window;
 mod revision;
@@ -120,6 +121,7 @@
     Admitted, ChunkDecision, ChunkPosition, Ended, Placed, Received, Request, RequestInfo,
     Streaming,
 };
+pub use request_limit::{AnnouncedLimit, AnnouncedLimits, LimitNotice, RequestRate};
 pub use request_size::{LONG_PROMPT, RequestSize, TokenEstimator};
 pub use retry_window::{RetryLimit, RetryWindow};
 pub use revision::Revision;
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -1,6 +1,6 @@
 //! Plans of relayed requests and the messages about them between instances and planners.
 
-use crate::{grant, ingress, name, prompt_part, request_size, unit};
+use crate::{grant, ingress, name, prompt_part, request_limit, request_size, unit};
 
 /// A request for a plan.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -28,6 +28,10 @@
     pub excluded_upstreams: Vec<name::UpstreamName>,
     /// The upstreams that accept no requests from the instance. They are never used.
     pub unavailable_upstreams: Vec<name::UpstreamName>,
+    /// The request limits that the instance has heard of.
+    pub limits: Vec<request_limit::LimitNotice>,
+    /// The number of planners that may plan for the pool without knowing each other's plans.
+    pub planners: u32,
 }
 
 /// An engine that prefills a part of a prompt for the lead.
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -18,6 +18,7 @@
 mod memory;
 mod prefill_queue;
 mod prefill_set;
+mod request_limits;
 mod screening;
 mod upstream;
 mod waiting;
@@ -55,6 +56,10 @@
 /// milliseconds. Such an upstream is likely to prefill more long prompts.
 const LONG_STREAM_COST_MS: f64 = 80.0;
 
+/// The gain of sending a short request to an upstream whose request limit is outdated, in
+/// milliseconds. It exceeds the cost of an upstream in the prefill set, which gets few requests.
+const OUTDATED_LIMIT_GAIN_MS: f64 = 2.0 * PREFILL_SET_COST_MS;
+
 /// The cost of an upstream on which a trial runs, in milliseconds. The trial may break off every
 /// stream there.
 const TRIAL_LEAD_COST_MS: f64 = 1_000.0;
@@ -75,6 +80,7 @@
     screening: part_screening::PartScreening,
     waiting: waiting::WaitingList,
     prefill_delay: prefill_queue::PrefillDelay,
+    request_limits: request_limits::RequestLimits,
     registry_generation: Option<u64>,
     quarantine_generation: Option<u64>,
 }
@@ -93,6 +99,7 @@
             screening: part_screening::PartScreening::default(),
             waiting: waiting::WaitingList::default(),
             prefill_delay: prefill_queue::PrefillDelay::default(),
+            request_limits: request_limits::RequestLimits::default(),
             registry_generation: None,
             quarantine_generation: None,
         }
@@ -114,6 +121,9 @@
         });
         self.waiting
             .retain_listed(|name| self.upstreams.contains_key(name));
+        let start_time_of =
+            |name: &name::UpstreamName| Some(self.upstreams.get(name)?.start_time());
+        self.request_limits.retain_listed(start_time_of);
         for entry in ready {
             self.upstreams
                 .entry(entry.name.clone())
@@ -153,7 +163,9 @@
     ) -> error::Result<plan::Plan> {
         self.release_expired(now);
         self.waiting.remove_expired(now);
+        self.apply_limit_notices(now, request);
         let isolation = self.screen(now, request)?;
+        self.check_request_limits(now, request)?;
         let plan = match self.timing {
             Some(timing) if self.is_long(request.size.prompt) => {
                 self.plan_long_prompt(now, &timing, request, isolation)?
@@ -161,6 +173,8 @@
             timing => self.plan_single(now, timing.as_ref(), request, isolation)?,
         };
         self.waiting.remove(request.waiting_id);
+        self.request_limits
+            .count(now, &plan.lead.upstream, request.planners);
         if let Some(lead) = self.upstreams.get(&plan.lead.upstream) {
             let (from, zone) = (&request.availability_zone, lead.availability_zone());
             self.health.record_trial(now, from, zone);
@@ -203,6 +217,11 @@
             let decodes_long = upstream.stream_count_of(upstream::PromptLength::Long) > 0;
             cost + self.failure_and_zone_cost(now, upstream, request)
                 + isolation_cost(upstream, isolation)
+                + if self.request_limits.is_outdated(now, upstream.name()) {
+                    -OUTDATED_LIMIT_GAIN_MS
+                } else {
+                    0.0
+                }
                 + if in_prefill_set {
                     PREFILL_SET_COST_MS
                 } else {
@@ -241,13 +260,14 @@
         let Some(timing) = timing else {
             return;
         };
-        let health = &self.health;
+        let (health, limits) = (&self.health, &self.request_limits);
         let zone = &request.availability_zone;
         let reachable = prefill_set::ReachableUpstreams {
             upstreams: &self.upstreams,
             is_reachable: &|upstream| {
                 is_available(request, upstream) && health.is_reliable(now, zone, upstream)
             },
+            is_limited: &|name| limits.is_limited(name),
         };
         self.prefill_set
             .resize(now, timing, &reachable, self.waiting.demand());
@@ -256,7 +276,8 @@
     /// Returns the available and reachable upstreams that the request has not tried yet.
     ///
     /// If every such upstream has been tried, returns all of them. If none is reachable,
-    /// reachability is ignored. Unavailable upstreams are never returned.
+    /// reachability is ignored. Unavailable upstreams, and those whose request limit is reached, are
+    /// never returned.
     fn candidates<'a>(
         &'a self,
         now: unit::Timestamp,
@@ -268,7 +289,9 @@
         let untried =
             |upstream: &&upstream::Upstream| !request.excluded_upstreams.contains(upstream.name());
         let available = self.upstreams.values();
-        let available = available.filter(|upstream| is_available(request, upstream));
+        let available = available.filter(move |upstream| {
+            is_available(request, upstream) && self.request_limits.allows(now, upstream.name())
+        });
         let any_untried = available
             .clone()
             .any(|upstream| reachable(&upstream) && untried(&upstream));
--- a/limpetkeel/src/planner/prefill_set.rs
+++ b/limpetkeel/src/planner/prefill_set.rs
@@ -38,10 +38,21 @@
 /// The cost of each position in the join order, in streams, when an engine joins the set.
 const POSITION_COST: f64 = 0.1;
 
+/// The cost of an engine without a request limit, in streams, when an engine joins the set. It
+/// exceeds what the other costs come to.
+const UNLIMITED_COST: f64 = 1_000.0;
+
+/// The backlog that a limited engine counts as having when an engine leaves the set, in milliseconds,
+/// so that the others leave first.
+const LIMITED_BACKLOG_MS: f64 = 1e6;
+
 /// The engines that requests from one availability zone can reach.
 pub(super) struct ReachableUpstreams<'a> {
     pub(super) upstreams: &'a collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
     pub(super) is_reachable: &'a dyn Fn(&upstream::Upstream) -> bool,
+    /// Whether an engine limits its requests. The set prefers such engines, since a part is not a
+    /// request.
+    pub(super) is_limited: &'a dyn Fn(&name::UpstreamName) -> bool,
 }
 
 impl<'a> ReachableUpstreams<'a> {
@@ -155,12 +166,31 @@
             };
             self.members.insert(name);
         }
-        if size > target && now.since(self.last_removal) >= SHRINK_INTERVAL {
+        if now.since(self.last_removal) < SHRINK_INTERVAL {
+            return;
+        }
+        if size > target {
+            self.last_removal = now;
+            self.remove_least_loaded(now, reachable);
+        } else if self.prefers_other(reachable) {
             self.last_removal = now;
+            self.members.extend(self.choose_next(reachable));
             self.remove_least_loaded(now, reachable);
         }
     }
 
+    /// Returns `true` if an engine outside the set limits its requests and a member does not.
+    fn prefers_other(&self, reachable: &ReachableUpstreams<'_>) -> bool {
+        let is_reachable = |name: &&name::UpstreamName| reachable.get(name).is_some();
+        let (members, others): (Vec<_>, Vec<_>) = self
+            .join_order
+            .iter()
+            .filter(is_reachable)
+            .partition(|name| self.members.contains(*name));
+        others.into_iter().any(reachable.is_limited)
+            && !members.into_iter().all(reachable.is_limited)
+    }
+
     /// Returns the engine that joins next, preferring few streams and an early position in the
     /// join order. The order lets planners with empty ledgers choose the same engines.
     fn choose_next(&self, reachable: &ReachableUpstreams<'_>) -> Option<name::UpstreamName> {
@@ -168,21 +198,29 @@
         let outside = ordered.filter(|(_, name)| !self.members.contains(*name));
         let outside = outside.filter_map(|(position, name)| Some((position, reachable.get(name)?)));
         let cost = |position: usize, upstream: &upstream::Upstream| {
-            upstream.stream_count() as f64 + position as f64 * POSITION_COST
+            let unlimited = !(reachable.is_limited)(upstream.name());
+            upstream.stream_count() as f64
+                + position as f64 * POSITION_COST
+                + if unlimited { UNLIMITED_COST } else { 0.0 }
         };
         outside
             .min_by(|(a, x), (b, y)| cost(*a, x).total_cmp(&cost(*b, y)))
             .map(|(_, upstream)| upstream.name().clone())
     }
 
-    /// Removes the reachable engine with the smallest prefill backlog, the latest in the join order
+    /// Removes the reachable engine with the smallest prefill backlog, preferably one without a
+    /// request limit, the latest in the join order
     /// among equals.
     fn remove_least_loaded(&mut self, now: unit::Timestamp, reachable: &ReachableUpstreams<'_>) {
         let members = self.join_order.iter().rev();
         let members = members.filter(|name| self.members.contains(*name));
+        let cost = |upstream: &upstream::Upstream| {
+            let limited = (reachable.is_limited)(upstream.name());
+            upstream.backlog_ms(now) + if limited { LIMITED_BACKLOG_MS } else { 0.0 }
+        };
         let least_loaded = members
             .filter_map(|name| reachable.get(name))
-            .min_by(|a, b| a.backlog_ms(now).total_cmp(&b.backlog_ms(now)));
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         if let Some(least_loaded) = least_loaded {
             self.members.remove(least_loaded.name());
         }
--- a/limpetkeel/src/planner/waiting.rs
+++ b/limpetkeel/src/planner/waiting.rs
@@ -256,6 +256,13 @@
         known.map_or_else(|| place_of(now, request), WaitingState::place)
     }
 
+    /// Returns the number of prompts that come before that of a request.
+    pub(super) fn count_before(&self, now: unit::Timestamp, request: &plan::PlanRequest) -> usize {
+        let place = self.place(now, request);
+        let earlier = self.prompts.values().filter(|other| other.place() < place);
+        earlier.count()
+    }
+
     /// Returns the time to prefill the prompts that come before that of a request, in milliseconds.
     pub(super) fn prefill_ms_before(
         &self,
--- a/limpetkeel/src/upstream_availability.rs
+++ b/limpetkeel/src/upstream_availability.rs
@@ -7,7 +7,7 @@
 
 use std::collections;
 
-use crate::{grant, name, unit, upstream_registry};
+use crate::{grant, name, request_limit, unit, upstream_registry};
 
 /// The longest pause that is honored.
 ///
@@ -50,6 +50,16 @@
         })
     }
 
+    /// Returns the pool of the upstream.
+    pub fn pool(&self) -> &name::PoolName {
+        &self.pool
+    }
+
+    /// Returns when the process started, or `None` if the upstream was not listed.
+    pub fn start_time(&self) -> Option<u64> {
+        self.start_time
+    }
+
     /// Returns the name of the upstream.
     pub fn name(&self) -> &name::UpstreamName {
         &self.name
@@ -172,6 +182,7 @@
 #[derive(Debug, Default)]
 pub struct UpstreamAvailability {
     unavailable: collections::BTreeMap<name::UpstreamName, UnavailableState>,
+    limits: request_limit::AnnouncedLimits,
 }
 
 impl UpstreamAvailability {
@@ -227,6 +238,29 @@
         was_available && until > now
     }
 
+    /// Records the request limit that a process has announced, or that it names none. Returns `true`
+    /// if it said something else before.
+    ///
+    /// A process that `registry` lists no longer, since the upstream has restarted, is ignored.
+    pub fn record_limit(
+        &mut self,
+        now: unit::Timestamp,
+        registry: &upstream_registry::UpstreamRegistry,
+        process: &UpstreamProcess,
+        limit: request_limit::AnnouncedLimit,
+    ) -> bool {
+        !is_replaced(registry, process) && self.limits.record(now, process, limit)
+    }
+
+    /// Returns what the upstreams of a pool have announced about their request limits.
+    pub fn limit_notices(
+        &self,
+        now: unit::Timestamp,
+        pool: &name::PoolName,
+    ) -> Vec<request_limit::LimitNotice> {
+        self.limits.notices(now, pool)
+    }
+
     /// Removes the state of a process, and that of an earlier process of the same upstream, which
     /// is discarded.
     fn take(&mut self, process: &UpstreamProcess) -> Option<UnavailableState> {
@@ -244,6 +278,7 @@
     ) {
         self.unavailable
             .retain(|_, state| state.is_current(now, registry));
+        self.limits.remove_replaced(registry);
     }
 
     /// Returns `true` if an upstream accepts requests from this instance.
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -40,6 +40,8 @@
     pub reservations: prometheus::IntCounterVec,
     /// Requests with long prompts that waited for memory or prefill capacity.
     pub capacity_waits: prometheus::IntCounter,
+    /// Changes of the request limits that upstreams announce.
+    pub limit_changes: prometheus::IntCounter,
     /// Log lines dropped because the log queue was full.
     pub dropped_log_lines: prometheus::IntGauge,
 }
@@ -124,6 +126,10 @@
                 "limpetkeel_log_lines_left_out",
                 "Log lines left out since the start because their queue was full.",
             )?,
+            limit_changes: registrar.counter(
+                "limpetkeel_relay_limit_changes_total",
+                "Changes of the request limits that upstreams announce.",
+            )?,
             capacity_waits: registrar.counter(
                 "limpetkeel_relay_capacity_waits_total",
                 "Requests with long prompts that waited for memory or prefill capacity.",
--- a/limpetkeeld/src/relay/availability.rs
+++ b/limpetkeeld/src/relay/availability.rs
@@ -1,6 +1,9 @@
 //! Records what upstreams say about further requests, and checks plans against it.
 
-use limpetkeel::{Millis, Plan, PoolName, UpstreamAddress, UpstreamName, UpstreamProcess};
+use limpetkeel::{
+    AnnouncedLimit, LimitNotice, Millis, Plan, PoolName, UpstreamAddress, UpstreamName,
+    UpstreamProcess,
+};
 
 use crate::relay::{port, shared};
 
@@ -20,6 +23,7 @@
     process: &UpstreamProcess,
     response_head: &port::ResponseHead,
 ) {
+    record_limit(shared, process, response_head);
     let retry_after = response_head.retry_after;
     if !response_head.leaving && retry_after.is_none() {
         return;
@@ -49,6 +53,43 @@
     }
 }
 
+/// Records what a response says about the request limit of its upstream. A decline without a limit
+/// may come from another process at the address, so it does not end one.
+fn record_limit(
+    shared: &shared::Shared,
+    process: &UpstreamProcess,
+    response_head: &port::ResponseHead,
+) {
+    let limit = match response_head.limit {
+        Some(AnnouncedLimit::Unlimited) if !response_head.signed => return,
+        Some(limit) if response_head.signed || response_head.declined => limit,
+        _ => return,
+    };
+    let now = shared.clock.now();
+    let has_changed = {
+        let tables = shared.tables.lock();
+        let mut availability = shared.availability.lock();
+        availability.record_limit(now, &tables.upstreams, process, limit)
+    };
+    if has_changed {
+        shared.metrics.relay.limit_changes.inc();
+        tracing::info!(
+            event = "upstream_limit",
+            upstream = %process.name(),
+            per_second = match limit {
+                AnnouncedLimit::Unlimited => None,
+                AnnouncedLimit::Limited(rate) => Some(f64::from(rate)),
+            },
+        );
+    }
+}
+
+/// Returns the request limits that the upstreams of a pool have announced.
+pub fn limit_notices(shared: &shared::Shared, pool: &PoolName) -> Vec<LimitNotice> {
+    let now = shared.clock.now();
+    shared.availability.lock().limit_notices(now, pool)
+}
+
 /// Returns the upstreams of a pool that accept no requests from this instance.
 pub fn unavailable_upstreams(shared: &shared::Shared, pool: &PoolName) -> Vec<UpstreamName> {
     let now = shared.clock.now();
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -209,6 +209,7 @@
         .lock()
         .instances
         .planners(now, plan_request.pool.as_str());
+    let mut local_request = plan_request.clone();
     for planner in planners {
         if shared.is_local(&planner) {
             break;
@@ -239,8 +240,10 @@
             pool = %plan_request.pool,
             request,
         );
+        // Every other instance may be without a planner as well.
+        local_request.planners = shared.membership.lock().instances.len() as u32;
     }
-    let plan = shared.jobs.plan(plan_request.clone()).await?;
+    let plan = shared.jobs.plan(local_request).await?;
     Ok((plan, None))
 }
 
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -70,6 +70,8 @@
                 shared,
                 &relayed.info().pool,
             ),
+            limits: availability::limit_notices(shared, &relayed.info().pool),
+            planners: 1,
         };
         let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
             Ok(planned) => return Ok(planned),
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -25,6 +25,8 @@
     Normal,
     /// Runs the request, responds, and states that it is leaving.
     Leaving,
+    /// Runs the request, responds, and names a limit, in thousandths of a request per second.
+    Limited(u32),
     /// Runs the request, responds with the id of another request, and states that it is leaving.
     LeavingWithWrongId,
     /// Declines the request, and states that it did not run it.
@@ -255,9 +257,11 @@
         let not_run = format!("{}: 1\r\n", names::REQUEST_NOT_RUN);
         let response = self.encode_response(id, 200, "answer");
         let bytes = match behavior {
-            Behavior::Leaving => add_leaving_header(&response),
+            Behavior::Leaving => add_header(&response, &leaving_header()),
+            Behavior::Limited(limit) => add_header(&response, &limit_header(limit)),
             Behavior::LeavingWithWrongId => {
-                add_leaving_header(&self.encode_response("another", 200, "not yours"))
+                let response = self.encode_response("another", 200, "not yours");
+                add_header(&response, &leaving_header())
             }
             Behavior::Decline => format!("HTTP/1.1 503 Busy\r\n{not_run}content-length: 0\r\n\r\n"),
             Behavior::DeclineFor(ms) => format!(
@@ -309,14 +313,14 @@
         let after = request.headers.get(names::LAST_EVENT.as_str());
         let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
         let (id_header, signature_header) = (names::REQUEST_ID, names::RESPONSE_SIGNATURE);
-        let leaving = if behavior == Behavior::Leaving {
-            leaving_header()
-        } else {
-            String::new()
+        let statement = match behavior {
+            Behavior::Leaving => leaving_header(),
+            Behavior::Limited(limit) => limit_header(limit),
+            _ => String::new(),
         };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{id_header}: {}\r\n{signature_header}: {}\r\n\
-             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n{leaving}\r\n",
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n{statement}\r\n",
             request.id, self.name,
         );
         stream.write_all(head.as_bytes()).await.ok()?;
@@ -366,6 +370,7 @@
         Behavior::Normal
             | Behavior::CrashOnPart(_)
             | Behavior::Leaving
+            | Behavior::Limited(_)
             | Behavior::CutAfter(_)
             | Behavior::HangAfter(_)
             | Behavior::GapAfterTwo(_)
@@ -377,9 +382,19 @@
     format!("{}: 1\r\n", names::LEAVING)
 }
 
-/// Adds the header to a response.
-fn add_leaving_header(response: &str) -> String {
-    response.replacen("\r\n\r\n", &format!("\r\n{}\r\n", leaving_header()), 1)
+/// Encodes the header by which an upstream names its limit, in thousandths of a request per second.
+fn limit_header(limit: u32) -> String {
+    format!(
+        "{}: {}.{:03}\r\n",
+        names::REQUEST_LIMIT,
+        limit / 1_000,
+        limit % 1_000
+    )
+}
+
+/// Adds a header to a response.
+fn add_header(response: &str, header: &str) -> String {
+    response.replacen("\r\n\r\n", &format!("\r\n{header}\r\n"), 1)
 }
 
 /// Encodes a chunk of the chunked transfer coding.
