--- a/standins/src/deployment/store.rs
+++ b/standins/src/deployment/store.rs
@@ -46,7 +46,7 @@
     /// The number of items on a page.
     page_size: usize,
     /// Items of an unexpected form, which the first page of each read contains.
-    malformed_items: Vec<serde_json::Value>,
+    malformed_items: Vec<Box<serde_json::value::RawValue>>,
 }
 
 impl State {
@@ -221,8 +221,13 @@
     }
 
     /// Adds an item of an unexpected form to the first page of each read.
-    pub fn add_malformed_item(&self, item: serde_json::Value) {
-        self.state.lock().malformed_items.push(item);
+    ///
+    /// # Panics
+    ///
+    /// Panics if the text is not JSON.
+    pub fn add_malformed_item(&self, json: &str) {
+        let json = serde_json::value::RawValue::from_string(json.to_owned());
+        self.state.lock().malformed_items.push(json.expect("JSON"));
     }
 
     /// Deletes a key.
@@ -301,7 +306,7 @@
         let mut items = Vec::new();
         if after.is_empty() {
             let malformed = state.malformed_items.iter().cloned();
-            items.extend(malformed.map(wire::ReceivedItem::Unreadable));
+            items.extend(malformed.map(|json| wire::ReceivedItem::Unreadable(json.into())));
         }
         let page = remaining.by_ref().take(state.page_size).cloned();
         items.extend(page.map(wire::ReceivedItem::Readable));
--- a/standins/tests/relay_life.rs
+++ b/standins/tests/relay_life.rs
@@ -70,13 +70,16 @@
         deployment.store.put(key, b"of another system");
     }
     deployment.store.set_page_size(1);
+    let nested = format!("{}{}", "[".repeat(1_000), "]".repeat(1_000));
     let malformed = [
-        serde_json::json!({"key": "servers/u7", "value": "e30=", "revision": "seven"}),
-        serde_json::json!({"key": 7, "revision": 7}),
-        serde_json::json!([]),
+        r#"{"key": "servers/u7", "value": "e30=", "revision": "seven"}"#,
+        r#"{"key": "servers/u6", "value": "e30=", "revision": 1e999}"#,
+        r#"{"key": 7, "revision": 7}"#,
+        "[]",
+        &nested,
     ];
-    for item in malformed {
-        deployment.store.add_malformed_item(item);
+    for json in malformed {
+        deployment.store.add_malformed_item(json);
     }
     deployment.store.put("servers/u8", b"\xff\x00");
     deployment.store.compact();
@@ -92,7 +95,7 @@
     }
     let log = deployment.log();
     let counted = log.matches("event=entry_unreadable").count();
-    assert!(counted >= 3, "{log}");
+    assert!(counted >= 5, "{log}");
 }
 
 #[test_case(ResponseMode::Refuse)]
