Test that late requests of a drain that may not be repeated are not cut off

An operator of a similar system reports that requests that came late in the grace time of a planned stop were passed on and cut off without an answer, among them some that may not be repeated (LOST).

It can't happen here as told: once load balancers have reacted, a request is taken only if its deadline comes before the drain ends, and what is in progress then gets a final response. The new test sends such requests 2.3 s, 2.7 s and 3.1 s after SIGTERM to an upstream that does not respond; it passes on this code without a change.

--- a/standins/tests/drain.rs
+++ b/standins/tests/drain.rs
@@ -116,6 +116,32 @@
     assert!(elapsed < DRAIN_TIMEOUT, "{elapsed:?}");
 }
 
+#[test_case(2_300, ROUTE_TIMEOUT_MS, true; "load balancers still send requests")]
+#[test_case(2_700, ROUTE_TIMEOUT_MS, false; "outlasts the drain")]
+#[test_case(3_100, ROUTE_TIMEOUT_MS, false; "shortly before connections are refused")]
+#[test_case(2_700, 500, true; "ends before the drain")]
+#[tokio::test]
+async fn a_late_request_that_may_not_be_repeated_is_not_cut_off(
+    sent_after_ms: u64,
+    remaining_ms: u64,
+    is_taken: bool,
+) {
+    let mut deployment = start(1).await;
+    deployment.set_behavior(Behavior::Hang);
+    let terminated = terminate(&deployment);
+    let send_at = terminated + time::Duration::from_millis(sent_after_ms);
+    tokio::time::sleep_until(send_at.into()).await;
+    let remaining = http::HeaderValue::from(remaining_ms);
+    let headers = http::HeaderMap::from_iter([(names::REMAINING_MS, remaining)]);
+    let req = deployment.request(0, "POST", "/book/x", "late");
+    let response = deployment.send(req.headers(headers)).await;
+    let response = response.expect("a response before the connection closes");
+    assert!(terminated.elapsed() < DRAIN_TIMEOUT);
+    assert_eq!(deployment.run_count("late"), usize::from(is_taken));
+    assert_eq!(response.status, if is_taken { 504 } else { 503 });
+    wait_exited(&mut deployment).await;
+}
+
 #[tokio::test]
 async fn a_stream_that_outlasts_the_drain_is_broken_off_before_the_process_is_killed() {
     let deployment = start(1).await;
