Refuse prompts beyond the memory before they wait for prefill

A prompt that the engines can never hold waited for prefill capacity like others while the pool was busy, and was refused only after its turn. Its length is checked first now. The new test fails before: the refusal was NoCapacity, not PromptTooLong.

--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -49,8 +49,9 @@
             self.prefill_set.add_demand(now, timing.prefill_ms(prompt));
         }
         self.resize_prefill_set(now, Some(timing), request);
-        self.check_prefill(now, timing, request)?;
         let usable_memory = usable_memory(timing);
+        self.check_prompt_length(usable_memory, request.size)?;
+        self.check_prefill(now, timing, request)?;
         let (lead, fits) = self.choose_lead(now, timing, request, usable_memory, isolation)?;
         let candidates = self.helper_candidates(now, &lead, request)?;
         let reservations = if fits {
--- a/limpetkeel/src/planner/memory.rs
+++ b/limpetkeel/src/planner/memory.rs
@@ -179,14 +179,9 @@
         request: &plan::PlanRequest,
         lead: &grant::UpstreamAddress,
     ) -> error::Error {
-        let prompt = request.size.prompt;
         let usable = long_prompt::usable_memory(timing);
-        if let Some(most) = self.prompt_limit(usable, request.size)
-            && prompt > most
-        {
-            return error::Error::PromptTooLong(most);
-        }
-        self.waiting.renew(now, request, timing.prefill_ms(prompt));
+        self.waiting
+            .renew(now, request, timing.prefill_ms(request.size.prompt));
         self.renew_set_aside(now, request, usable, lead);
         let id = request.waiting_id;
         let own = self.waiting.parts(id);
@@ -249,16 +244,24 @@
         }
     }
 
-    /// Returns the largest prompt that the pool can hold, or `None` if it has no upstream.
-    fn prompt_limit(
+    /// Checks that the engines that one request may use can hold a prompt.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Error::PromptTooLong`] if they cannot.
+    pub(super) fn check_prompt_length(
         &self,
         usable: unit::Tokens,
         size: request_size::RequestSize,
-    ) -> Option<unit::Tokens> {
-        let helpers = self.upstreams.len().checked_sub(1)?;
+    ) -> error::Result<()> {
+        let helpers = self.upstreams.len().saturating_sub(1);
         let helpers = helpers.min(helpers::MAX_HELPERS) as u64;
         let lead_memory = usable.saturating_sub(size.output);
-        Some(unit::Tokens(usable.0 * helpers) + lead_memory)
+        let longest = unit::Tokens(usable.0 * helpers) + lead_memory;
+        if size.prompt > longest {
+            return Err(error::Error::PromptTooLong(longest));
+        }
+        Ok(())
     }
 
     /// Returns the free memory of the engines that a request may use.
--- a/limpetkeel/tests/planner_waiting.rs
+++ b/limpetkeel/tests/planner_waiting.rs
@@ -325,6 +325,19 @@
     );
 }
 
+#[test]
+fn a_prompt_beyond_the_memory_is_refused_at_once_while_others_wait() {
+    let mut planner = pool::planner(12);
+    for id in 0..60 {
+        let _ = planner.plan(Timestamp(0), &request_at(0, 0, id, 170_000));
+    }
+    let planned = planner.plan(Timestamp(0), &request_at(0, 0, 100, 3_400_000));
+    assert!(
+        matches!(planned, Err(Error::PromptTooLong(_))),
+        "{planned:?}"
+    );
+}
+
 #[test_case(3, 600_000; "of a small pool")]
 #[test_case(40, 3_400_000; "of the engines that one request may use")]
 fn a_prompt_beyond_the_memory_is_refused_at_once(engines: usize, prompt: u64) {
