Set memory aside outside the prefill set if the set is too small for a prompt

A prompt that the pool can hold, but not its prefill set at its largest size, found no memory in a busy pool and was refused after 2 s. Memory is set aside for it on the other engines as well. The new test fails before with NoHelper.

--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -137,8 +137,8 @@
     /// Chooses the engines that reserve memory for a prompt that does not fit into the memory of its
     /// lead: as few engines of the prefill set as possible. What they lack stays on the lead.
     ///
-    /// The parts are so large that they would stall the streams of engines outside the set. Returns
-    /// `None` if the engines have too little memory.
+    /// The parts are so large that they would stall the streams of engines outside the set. Those are
+    /// used only if memory is set aside there. Returns `None` if the engines have too little memory.
     fn choose_reservations(
         &self,
         now: unit::Timestamp,
@@ -149,8 +149,15 @@
     ) -> Option<Vec<plan::Helper>> {
         let prompt = request.size.prompt;
         let free_for = |upstream| self.free_for(now, request, upstream, usable_memory);
+        let set_aside = self.waiting.parts(request.waiting_id).iter();
+        let set_aside = set_aside.filter_map(|part| self.upstreams.get(&part.upstream));
+        let outside: Vec<_> = set_aside
+            .filter(|upstream| !self.prefill_set.contains(upstream.name()))
+            .filter(|upstream| *upstream.name() != lead.upstream && upstream.accepts_part())
+            .collect();
         let engines = || {
-            let engines = candidates.iter().map(|upstream| memory::EngineMemory {
+            let engines = candidates.iter().chain(&outside);
+            let engines = engines.map(|upstream| memory::EngineMemory {
                 upstream,
                 free: free_for(upstream),
             });
--- a/limpetkeel/src/planner/memory.rs
+++ b/limpetkeel/src/planner/memory.rs
@@ -231,15 +231,19 @@
             let mut parts = held.iter();
             parts.any(|part| part.upstream == *upstream.name())
         };
-        let forecasts: Vec<_> = self
-            .upstreams
-            .values()
-            .filter(|upstream| self.prefill_set.contains(upstream.name()))
-            .filter(|upstream| *upstream.name() != lead.upstream && !is_held(upstream))
-            .filter(|upstream| self.can_help(now, request, upstream))
-            .map(|upstream| self.forecast(now, request, usable, upstream))
-            .collect();
-        if let Some(parts) = divide_earliest(now, lacking, &forecasts, max_parts) {
+        let forecasts = |may_be_outside: bool| -> Vec<_> {
+            self.upstreams
+                .values()
+                .filter(|upstream| may_be_outside || self.prefill_set.contains(upstream.name()))
+                .filter(|upstream| *upstream.name() != lead.upstream && !is_held(upstream))
+                .filter(|upstream| self.can_help(now, request, upstream))
+                .map(|upstream| self.forecast(now, request, usable, upstream))
+                .collect()
+        };
+        // The prefill set of a small pool may be too small for the prompt, even if it is idle.
+        let parts = divide_earliest(now, lacking, &forecasts(false), max_parts)
+            .or_else(|| divide_earliest(now, lacking, &forecasts(true), max_parts));
+        if let Some(parts) = parts {
             self.waiting.set_aside(id, parts);
         }
     }
--- a/limpetkeel/tests/planner_waiting.rs
+++ b/limpetkeel/tests/planner_waiting.rs
@@ -325,6 +325,24 @@
     );
 }
 
+#[test]
+fn a_prompt_beyond_the_prefill_set_waits_for_engines_outside() {
+    let mut planner = pool::planner(6);
+    let mut running = fill(&mut planner, 0, 0, 170_000);
+    for now in (0..5_000).step_by(POLL_MS as usize) {
+        if now % 200 == 0 && !running.is_empty() {
+            let ended = running.remove(0);
+            end(&mut planner, now, &ended);
+        }
+        match planner.plan(Timestamp(now), &request_at(now, 0, 1_000, 800_000)) {
+            Ok(_) => return,
+            Err(Error::AwaitingCapacity { .. }) => {}
+            Err(e) => panic!("{e}"),
+        }
+    }
+    panic!("the prompt got no memory");
+}
+
 #[test]
 fn a_prompt_beyond_the_memory_is_refused_at_once_while_others_wait() {
     let mut planner = pool::planner(12);
