Simplify the waiting list, share the decaying delay, and name terms alike

Read once more; behaviour stays as it is.

- The delay of long prompts was written again beside that of one upstream; both are a delay::Delay now.
The longest wait and the refusal that prefill capacity and request limits had twice are in one place.
- The prefill set looked through all engines with two lists on each plan, to find out whether a limited one should replace another; it stops at the first engine now.
Limited engines come first by comparison instead of by costs that only had to be large.
- A plan request is no longer copied for the local planner when a peer plans.
- Comments, metric help and messages spoke of prompts and memory where any request may wait for any capacity.

--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -96,13 +96,13 @@
     },
     /// The request cannot finish before its deadline.
     WouldMissDeadline,
-    /// The engines lack memory or prefill capacity for the prompt. It keeps its turn while its
-    /// instance goes on asking.
+    /// The upstreams lack capacity for the request: memory, prefill time, or requests that they take.
+    /// It keeps its turn while its instance goes on asking.
     AwaitingCapacity {
         /// The time until the capacity is expected.
         expected_in: unit::Millis,
     },
-    /// The prompt would wait too long for memory or prefill capacity.
+    /// The request would wait too long for capacity.
     NoCapacity {
         /// The time until capacity is expected.
         retry_after: unit::Millis,
@@ -309,15 +309,11 @@
                 )
             }
             Error::AwaitingCapacity { expected_in } => {
-                write!(
-                    f,
-                    "the engines have capacity for the prompt in {expected_in}"
-                )
+                write!(f, "the upstreams have capacity in {expected_in}")
+            }
+            Error::NoCapacity { retry_after } => {
+                write!(f, "the upstreams have no capacity for {retry_after}")
             }
-            Error::NoCapacity { retry_after } => write!(
-                f,
-                "the engines have no capacity for the prompt for {retry_after}"
-            ),
             Error::NoHelper => f.write_str("no engine can prefill a part of the prompt now"),
             Error::PartHeldBack { retry_after } => write!(
                 f,
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -28,7 +28,7 @@
     pub excluded_upstreams: Vec<name::UpstreamName>,
     /// The upstreams that accept no requests from the instance. They are never used.
     pub unavailable_upstreams: Vec<name::UpstreamName>,
-    /// The request limits that the instance has heard of.
+    /// The announcements of request limits that the instance has received.
     pub limits: Vec<request_limit::LimitNotice>,
     /// The number of planners that may plan for the pool without knowing each other's plans.
     pub planners: u32,
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -1,16 +1,19 @@
 //! Plans on which upstreams the relayed requests of one pool run.
 //!
-//! A planner does not hold requests: it plans a request or refuses it. A prompt that waits for the
-//! memory of several engines keeps its turn while its instance goes on asking. The planner keeps a ledger of its plans: the prefill backlog of each
-//! engine, the streams that it decodes and the memory that they use. Instances report the end of a
-//! plan; a plan whose end is not reported expires. Two planners for one pool only lead to worse
-//! plans, since every upstream does its own admission control.
+//! A planner does not hold requests: it plans a request or refuses it. A request that has to wait
+//! keeps its turn while its instance goes on asking.
+//!
+//! The planner keeps a ledger of its plans: the prefill backlog of each engine, the streams that it
+//! decodes and the memory that they use. Instances report the end of a plan; a plan whose end is not
+//! reported expires. Two planners for one pool only lead to worse plans, since every upstream does
+//! its own admission control.
 //!
 //! Prefilling a long prompt delays every stream on the same engine. Therefore some engines form
 //! the *prefill set*, which prefills long prompts in parts, while the other engines decode. The
 //! prefill set grows and shrinks with the demand, and the engines with the fewest streams join it
 //! first.
 
+mod delay;
 mod health;
 mod helpers;
 mod ledger;
@@ -79,7 +82,8 @@
     plans: collections::BTreeMap<grant::RequestId, ledger::PlanRecord>,
     screening: part_screening::PartScreening,
     waiting: waiting::WaitingList,
-    prefill_delay: prefill_queue::PrefillDelay,
+    /// How much later than computed the responses to long prompts begin.
+    prefill_delay: delay::Delay,
     request_limits: request_limits::RequestLimits,
     registry_generation: Option<u64>,
     quarantine_generation: Option<u64>,
@@ -98,7 +102,10 @@
             plans: collections::BTreeMap::new(),
             screening: part_screening::PartScreening::default(),
             waiting: waiting::WaitingList::default(),
-            prefill_delay: prefill_queue::PrefillDelay::default(),
+            prefill_delay: delay::Delay::new(
+                prefill_queue::DELAY_WEIGHT,
+                prefill_queue::DELAY_HALF_LIFE_MS,
+            ),
             request_limits: request_limits::RequestLimits::default(),
             registry_generation: None,
             quarantine_generation: None,
@@ -150,9 +157,9 @@
     /// Returns [`error::Error::NoUpstream`] if the pool has no upstream,
     /// [`error::Error::UpstreamsUnavailable`] if the request may use none of them,
     /// [`error::Error::PromptTooLong`] if the prompt exceeds the plannable memory of the pool,
-    /// [`error::Error::AwaitingCapacity`] if it has to wait for memory or prefill capacity,
+    /// [`error::Error::AwaitingCapacity`] if the request has to wait for its turn,
     /// [`error::Error::NoCapacity`] if it would have to wait too long, [`error::Error::NoHelper`] if
-    /// no engine accepts a part of it,
+    /// no engine accepts a part of the prompt,
     /// [`error::Error::PartHeldBack`] if upstreams crashed on a part of the prompt, and
     /// [`error::Error::WouldMissDeadline`] if the estimate of a request that one upstream serves
     /// alone leaves too little of its remaining time.
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -115,8 +115,8 @@
         if reported_plan.response_begun {
             self.screening.record_response(&reported_plan.parts);
         }
-        let lead_streams = self.upstreams.get(&plan.lead.upstream);
-        let decode = self.timing.zip(lead_streams).map(|(timing, lead)| {
+        let lead = self.upstreams.get(&plan.lead.upstream);
+        let decode = self.timing.zip(lead).map(|(timing, lead)| {
             let output = expected_output(*size);
             let decode_ms = timing.decode_ms(output, lead.stream_count(), lead.memory());
             unit::Millis(decode_ms as u64)
--- a/limpetkeel/src/planner/long_prompt.rs
+++ b/limpetkeel/src/planner/long_prompt.rs
@@ -91,11 +91,6 @@
             self.free_for(now, request, upstream, usable_memory) >= request.size.memory()
         };
         let zone = &request.availability_zone;
-        let set_aside = self.waiting.parts(request.waiting_id);
-        let holds_part = |upstream: &upstream::Upstream| {
-            let mut parts = set_aside.iter();
-            parts.any(|part| part.upstream == *upstream.name())
-        };
         let part = timing.prefill_part_ms(request.size.prompt, ASSUMED_PARTS);
         let cost = |upstream: &upstream::Upstream| {
             let in_prefill_set = self.prefill_set.contains(upstream.name());
@@ -112,7 +107,10 @@
                 } else {
                     INSUFFICIENT_MEMORY_COST_MS
                 }
-                + if holds_part(upstream) {
+                + if self
+                    .waiting
+                    .holds_part_on(request.waiting_id, upstream.name())
+                {
                     HELD_PART_COST_MS
                 } else {
                     0.0
--- a/limpetkeel/src/planner/memory.rs
+++ b/limpetkeel/src/planner/memory.rs
@@ -121,8 +121,8 @@
     pub other: unit::Tokens,
     /// The largest free memory of an engine outside the prefill set.
     pub largest_other: unit::Tokens,
-    /// The number of prompts that wait for memory.
-    pub waiting_prompts: usize,
+    /// The number of requests that wait for their turn.
+    pub waiting_requests: usize,
     /// The memory that is set aside for them.
     pub set_aside: unit::Tokens,
 }
@@ -225,17 +225,13 @@
         if lacking == unit::Tokens::ZERO {
             return;
         }
-        let held = self.waiting.parts(id);
-        let max_parts = helpers::MAX_HELPERS.saturating_sub(held.len());
-        let is_held = |upstream: &upstream::Upstream| {
-            let mut parts = held.iter();
-            parts.any(|part| part.upstream == *upstream.name())
-        };
+        let max_parts = helpers::MAX_HELPERS.saturating_sub(self.waiting.parts(id).len());
         let forecasts = |may_be_outside: bool| -> Vec<_> {
             self.upstreams
                 .values()
                 .filter(|upstream| may_be_outside || self.prefill_set.contains(upstream.name()))
-                .filter(|upstream| *upstream.name() != lead.upstream && !is_held(upstream))
+                .filter(|upstream| *upstream.name() != lead.upstream)
+                .filter(|upstream| !self.waiting.holds_part_on(id, upstream.name()))
                 .filter(|upstream| self.can_help(now, request, upstream))
                 .map(|upstream| self.forecast(now, request, usable, upstream))
                 .collect()
@@ -271,7 +267,7 @@
     /// Returns the free memory of the engines that a request may use.
     pub fn free_memory(&self, request: &plan::PlanRequest) -> FreeMemory {
         let mut free_memory = FreeMemory {
-            waiting_prompts: self.waiting.len(),
+            waiting_requests: self.waiting.len(),
             set_aside: self.waiting.total_set_aside(),
             ..FreeMemory::default()
         };
--- a/limpetkeel/src/planner/prefill_queue.rs
+++ b/limpetkeel/src/planner/prefill_queue.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     engine, error, plan,
-    planner::{self, helpers, ledger, long_prompt},
+    planner::{self, helpers, ledger, long_prompt, waiting},
     request_size, unit,
 };
 
@@ -14,47 +14,21 @@
 /// leave engines idle.
 const MAX_PREFILL_MS: f64 = 3_000.0;
 
-/// The percentage of its objective for which a prompt may wait for prefill capacity. The rest is for
-/// its prefill.
-const MAX_WAIT_PERCENT: u8 = 50;
-
 /// Prompts with a shorter objective do not wait: it would be missed.
 const MIN_WAITING_OBJECTIVE: unit::Millis = unit::Millis(3_000);
 
-/// How much longer than twice its estimate a prefill counts as in progress if nothing is heard of it.
+/// How much longer than twice its estimate a prefill counts as in progress if its response is not
+/// reported.
 const MAX_PREFILL_DELAY: unit::Millis = unit::Millis(2_000);
 
-/// The weight of one response in the delay of long prompts.
-const DELAY_WEIGHT: f64 = 0.1;
+/// The weight of one response in the delay of long prompts. The last of many parts ends later than
+/// the backlogs of the engines suggest, since every part waits for the pass in progress. The delay
+/// belongs to no single engine.
+pub(super) const DELAY_WEIGHT: f64 = 0.1;
 
 /// The half-life of the delay of long prompts, in milliseconds. It is about the time that one takes
 /// under load.
-const DELAY_HALF_LIFE_MS: f64 = 5_000.0;
-
-/// How much later than computed the responses to long prompts begin.
-///
-/// The last of many parts ends later than the backlogs of the engines suggest, since every part
-/// waits for the pass in progress. The delay belongs to no single engine.
-#[derive(Debug, Default)]
-pub(super) struct PrefillDelay {
-    ms: f64,
-    updated: unit::Timestamp,
-}
-
-impl PrefillDelay {
-    /// Records how much later than computed a response began, in milliseconds.
-    pub(super) fn record(&mut self, now: unit::Timestamp, ms: f64) {
-        let previous = self.ms(now);
-        self.ms = (previous + (ms - previous) * DELAY_WEIGHT).max(0.0);
-        self.updated = now;
-    }
-
-    /// Returns the delay decayed since its last update, in milliseconds.
-    pub(super) fn ms(&self, now: unit::Timestamp) -> f64 {
-        let elapsed = now.since(self.updated).0 as f64;
-        self.ms * (-elapsed / DELAY_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
-    }
-}
+pub(super) const DELAY_HALF_LIFE_MS: f64 = 5_000.0;
 
 /// Returns the shortest expected time from the plan of a long prompt to the end of its response, in
 /// milliseconds. A step costs the context of the largest part.
@@ -92,8 +66,8 @@
             return Ok(());
         }
         let expected_in = unit::Millis(wait_ms as u64);
-        if expected_in > request.objective.first_event.percent(MAX_WAIT_PERCENT) {
-            return Err(self.refuse(request, expected_in));
+        if expected_in > waiting::longest_wait(request) {
+            return Err(self.waiting.refuse(request, expected_in));
         }
         self.waiting
             .renew(now, request, timing.prefill_ms(request.size.prompt));
@@ -114,12 +88,6 @@
         if end_ms <= request.remaining.0 as f64 * planner::MAX_DEADLINE_FRACTION {
             return error::Error::AwaitingCapacity { expected_in };
         }
-        self.refuse(request, expected_in)
-    }
-
-    /// Ends the wait of a prompt and returns the error for its request.
-    fn refuse(&mut self, request: &plan::PlanRequest, retry_after: unit::Millis) -> error::Error {
-        self.waiting.remove(request.waiting_id);
-        error::Error::NoCapacity { retry_after }
+        self.waiting.refuse(request, expected_in)
     }
 }
--- a/limpetkeel/src/planner/prefill_set.rs
+++ b/limpetkeel/src/planner/prefill_set.rs
@@ -38,14 +38,6 @@
 /// The cost of each position in the join order, in streams, when an engine joins the set.
 const POSITION_COST: f64 = 0.1;
 
-/// The cost of an engine without a request limit, in streams, when an engine joins the set. It
-/// exceeds what the other costs come to.
-const UNLIMITED_COST: f64 = 1_000.0;
-
-/// The backlog that a limited engine counts as having when an engine leaves the set, in milliseconds,
-/// so that the others leave first.
-const LIMITED_BACKLOG_MS: f64 = 1e6;
-
 /// The engines that requests from one availability zone can reach.
 pub(super) struct ReachableUpstreams<'a> {
     pub(super) upstreams: &'a collections::BTreeMap<name::UpstreamName, upstream::Upstream>,
@@ -181,46 +173,46 @@
 
     /// Returns `true` if an engine outside the set limits its requests and a member does not.
     fn prefers_other(&self, reachable: &ReachableUpstreams<'_>) -> bool {
-        let is_reachable = |name: &&name::UpstreamName| reachable.get(name).is_some();
-        let (members, others): (Vec<_>, Vec<_>) = self
-            .join_order
-            .iter()
-            .filter(is_reachable)
-            .partition(|name| self.members.contains(*name));
-        others.into_iter().any(reachable.is_limited)
-            && !members.into_iter().all(reachable.is_limited)
+        let any = |is_member: bool, is_limited: bool| {
+            self.join_order.iter().any(|name| {
+                (reachable.is_limited)(name) == is_limited
+                    && self.members.contains(name) == is_member
+                    && reachable.get(name).is_some()
+            })
+        };
+        any(false, true) && any(true, false)
     }
 
-    /// Returns the engine that joins next, preferring few streams and an early position in the
-    /// join order. The order lets planners with empty ledgers choose the same engines.
+    /// Returns the engine that joins next: one with a request limit before one without, preferring few
+    /// streams and an early position in the join order. The order lets planners with empty ledgers choose the same engines.
     fn choose_next(&self, reachable: &ReachableUpstreams<'_>) -> Option<name::UpstreamName> {
         let ordered = self.join_order.iter().enumerate();
         let outside = ordered.filter(|(_, name)| !self.members.contains(*name));
         let outside = outside.filter_map(|(position, name)| Some((position, reachable.get(name)?)));
         let cost = |position: usize, upstream: &upstream::Upstream| {
-            let unlimited = !(reachable.is_limited)(upstream.name());
-            upstream.stream_count() as f64
-                + position as f64 * POSITION_COST
-                + if unlimited { UNLIMITED_COST } else { 0.0 }
+            upstream.stream_count() as f64 + position as f64 * POSITION_COST
         };
+        let is_unlimited = |upstream: &upstream::Upstream| !(reachable.is_limited)(upstream.name());
         outside
-            .min_by(|(a, x), (b, y)| cost(*a, x).total_cmp(&cost(*b, y)))
+            .min_by(|(a, x), (b, y)| {
+                let by_limit = is_unlimited(x).cmp(&is_unlimited(y));
+                by_limit.then(cost(*a, x).total_cmp(&cost(*b, y)))
+            })
             .map(|(_, upstream)| upstream.name().clone())
     }
 
-    /// Removes the reachable engine with the smallest prefill backlog, preferably one without a
-    /// request limit, the latest in the join order
-    /// among equals.
+    /// Removes a reachable engine: one without a request limit before one with, the one with the
+    /// smallest prefill backlog, and the latest in the join order among equals.
     fn remove_least_loaded(&mut self, now: unit::Timestamp, reachable: &ReachableUpstreams<'_>) {
         let members = self.join_order.iter().rev();
         let members = members.filter(|name| self.members.contains(*name));
-        let cost = |upstream: &upstream::Upstream| {
-            let limited = (reachable.is_limited)(upstream.name());
-            upstream.backlog_ms(now) + if limited { LIMITED_BACKLOG_MS } else { 0.0 }
-        };
+        let is_limited = |upstream: &upstream::Upstream| (reachable.is_limited)(upstream.name());
         let least_loaded = members
             .filter_map(|name| reachable.get(name))
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+            .min_by(|a, b| {
+                let by_limit = is_limited(a).cmp(&is_limited(b));
+                by_limit.then(a.backlog_ms(now).total_cmp(&b.backlog_ms(now)))
+            });
         if let Some(least_loaded) = least_loaded {
             self.members.remove(least_loaded.name());
         }
--- a/limpetkeel/src/planner/request_limits.rs
+++ b/limpetkeel/src/planner/request_limits.rs
@@ -18,16 +18,13 @@
 /// The age from which the announcement of a limit is outdated.
 const MAX_AGE: unit::Millis = unit::Millis(4_000);
 
-/// The percentage of its objective for which a request may wait for a limited upstream.
-const MAX_WAIT_PERCENT: u8 = 50;
-
 /// The latest announcement of an upstream process.
 #[derive(Debug)]
 struct Limit {
     start_time: u64,
     limit: request_limit::AnnouncedLimit,
-    /// When an instance heard it, in the planner's clock.
-    heard: unit::Timestamp,
+    /// When an instance received it, in the planner's clock.
+    received: unit::Timestamp,
     /// When the upstream takes the next request, in milliseconds of the planner's clock.
     next_at_ms: f64,
 }
@@ -52,7 +49,8 @@
     }
 }
 
-/// The limits of a pool, and the requests that wait while all upstreams are limited.
+/// The limits of a pool, and the requests that wait while all upstreams are limited. They use no
+/// prefill capacity and no memory meanwhile.
 #[derive(Debug, Default)]
 pub(super) struct RequestLimits {
     limits: collections::BTreeMap<name::UpstreamName, Limit>,
@@ -72,16 +70,16 @@
     /// Applies a notice of an instance unless a later one is known. A new limit is divided among
     /// `planners` that do not know each other's plans.
     fn apply(&mut self, now: unit::Timestamp, notice: &request_limit::LimitNotice, planners: u32) {
-        let heard = unit::Timestamp(now.0.saturating_sub(notice.age.0));
+        let received = unit::Timestamp(now.0.saturating_sub(notice.age.0));
         let known = self.limits.get(&notice.upstream);
         let known = known.filter(|known| known.start_time == notice.start_time);
-        if known.is_some_and(|known| known.heard > heard) {
+        if known.is_some_and(|known| known.received > received) {
             return;
         }
         let mut limit = Limit {
             start_time: notice.start_time,
             limit: notice.limit,
-            heard,
+            received,
             next_at_ms: now.0 as f64,
         };
         let interval_ms = limit.interval_ms().unwrap_or(0.0);
@@ -111,8 +109,9 @@
     /// Returns `true` if a request should find out whether a limit still holds.
     pub(super) fn is_outdated(&self, now: unit::Timestamp, name: &name::UpstreamName) -> bool {
         let limit = self.limits.get(name);
-        limit
-            .is_some_and(|limit| limit.interval_ms().is_some() && now.since(limit.heard) >= MAX_AGE)
+        limit.is_some_and(|limit| {
+            limit.interval_ms().is_some() && now.since(limit.received) >= MAX_AGE
+        })
     }
 
     /// Counts a request to an upstream. The limit is divided among `planners` that do not know each
@@ -129,7 +128,7 @@
 }
 
 impl planner::Planner {
-    /// Applies what the instance of a request has heard from upstreams.
+    /// Applies the announcements that the instance of a request has received.
     pub(super) fn apply_limit_notices(
         &mut self,
         now: unit::Timestamp,
@@ -179,14 +178,11 @@
         }
         let next_ms = waits_ms.into_iter().fold(f64::INFINITY, f64::min);
         let expected_in = unit::Millis((next_ms + before as f64 / per_ms).ceil() as u64);
-        let longest = request.objective.first_event.percent(MAX_WAIT_PERCENT);
-        if expected_in > longest {
-            self.request_limits.waiting.remove(request.waiting_id);
-            return Err(error::Error::NoCapacity {
-                retry_after: expected_in,
-            });
+        let waiting = &mut self.request_limits.waiting;
+        if expected_in > waiting::longest_wait(request) {
+            return Err(waiting.refuse(request, expected_in));
         }
-        self.request_limits.waiting.renew(now, request, 0.0);
+        waiting.renew(now, request, 0.0);
         Err(error::Error::AwaitingCapacity { expected_in })
     }
 }
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -2,7 +2,9 @@
 
 use std::collections;
 
-use crate::{engine, grant, name, part_screening, request_size, unit, upstream_registry};
+use crate::{
+    engine, grant, name, part_screening, planner::delay, request_size, unit, upstream_registry,
+};
 
 /// The estimated wait for a free slot or for memory on a full upstream, in milliseconds. Requests
 /// queue there.
@@ -53,8 +55,8 @@
     memory: unit::Tokens,
     /// The part of `memory` that belongs to prompts that several engines prefill.
     long_prompt_memory: unit::Tokens,
-    /// How much later than estimated responses begin, in milliseconds, and when it was updated.
-    delay: (f64, unit::Timestamp),
+    /// How much later than estimated responses begin.
+    delay: delay::Delay,
 }
 
 /// The weight of one response in the delay of an upstream.
@@ -78,7 +80,7 @@
             trials: collections::BTreeSet::new(),
             memory: unit::Tokens::ZERO,
             long_prompt_memory: unit::Tokens::ZERO,
-            delay: (0.0, unit::Timestamp::ZERO),
+            delay: delay::Delay::new(DELAY_WEIGHT, DELAY_HALF_LIFE_MS),
         }
     }
 
@@ -90,17 +92,7 @@
     /// Records how much later than estimated a response began, in milliseconds; negative if it was
     /// early.
     pub(super) fn record_delay(&mut self, now: unit::Timestamp, ms: f64) {
-        let previous = self.delay_ms(now);
-        let unexpected = ms - EXPECTED_DELAY_MS;
-        let delay = (previous + (unexpected - previous) * DELAY_WEIGHT).max(0.0);
-        self.delay = (delay, now);
-    }
-
-    /// Returns the delay decayed since its last update, in milliseconds.
-    fn delay_ms(&self, now: unit::Timestamp) -> f64 {
-        let (delay, updated) = self.delay;
-        let elapsed = now.since(updated).0 as f64;
-        delay * (-elapsed / DELAY_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
+        self.delay.record(now, ms - EXPECTED_DELAY_MS);
     }
 
     pub(super) fn name(&self) -> &name::UpstreamName {
@@ -220,7 +212,7 @@
             .saturating_sub(self.free_memory(timing.memory()));
         let memory_ms = if lacking.0 > 0 { QUEUE_WAIT_MS } else { 0.0 };
         current_pass_ms
-            + self.delay_ms(now)
+            + self.delay.ms(now)
             + self.backlog_ms(now)
             + next_pass_ms
             + timing.prefill_ms(size.prompt)
--- a/limpetkeel/src/request_limit.rs
+++ b/limpetkeel/src/request_limit.rs
@@ -1,8 +1,9 @@
-//! The request limits that upstreams announce: what one instance has heard, and its notices to the
-//! planners.
+//! The request limits that upstreams announce: what one instance has received, and its notices to
+//! the planners.
 //!
 //! A limit holds for the requests of all instances together, so that it is enforced by the planner of
-//! the pool. An instance adds what it has heard to its plan requests, which also tells a new planner.
+//! the pool. An instance adds the announcements that it has received to its plan requests, so
+//! that a new planner learns them as well.
 
 use std::{cmp, collections};
 
@@ -54,7 +55,7 @@
     Limited(RequestRate),
 }
 
-/// What an instance has heard from an upstream process, for a planner.
+/// An announcement that an instance has received, for a planner.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LimitNotice {
     /// The upstream.
@@ -63,7 +64,7 @@
     pub start_time: u64,
     /// What it said last.
     pub limit: AnnouncedLimit,
-    /// How long ago the instance heard it. It is a duration since instances do not share a clock.
+    /// How long ago the instance received it. It is a duration since instances do not share a clock.
     pub age: unit::Millis,
 }
 
@@ -73,7 +74,7 @@
     pool: name::PoolName,
     start_time: u64,
     limit: AnnouncedLimit,
-    heard: unit::Timestamp,
+    received: unit::Timestamp,
 }
 
 /// What the upstreams have told one instance about their limits.
@@ -106,7 +107,7 @@
             pool: process.pool().clone(),
             start_time,
             limit,
-            heard: now,
+            received: now,
         };
         self.announcements
             .insert(process.name().clone(), announcement);
@@ -119,13 +120,13 @@
         let mut of_pool: Vec<_> = of_pool
             .filter(|(_, announcement)| announcement.pool == *pool)
             .collect();
-        of_pool.sort_by_key(|(_, announcement)| cmp::Reverse(announcement.heard));
+        of_pool.sort_by_key(|(_, announcement)| cmp::Reverse(announcement.received));
         let latest = of_pool.into_iter().take(MAX_NOTICES);
         let notices = latest.map(|(name, announcement)| LimitNotice {
             upstream: name.clone(),
             start_time: announcement.start_time,
             limit: announcement.limit,
-            age: now.since(announcement.heard),
+            age: now.since(announcement.received),
         });
         notices.collect()
     }
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -38,7 +38,7 @@
     pub unavailable_upstreams: prometheus::IntCounterVec,
     /// Memory reservations on engines, by result.
     pub reservations: prometheus::IntCounterVec,
-    /// Requests with long prompts that waited for memory or prefill capacity.
+    /// Requests that waited for the capacity of upstreams.
     pub capacity_waits: prometheus::IntCounter,
     /// Changes of the request limits that upstreams announce.
     pub limit_changes: prometheus::IntCounter,
@@ -132,7 +132,7 @@
             )?,
             capacity_waits: registrar.counter(
                 "limpetkeel_relay_capacity_waits_total",
-                "Requests with long prompts that waited for memory or prefill capacity.",
+                "Requests that waited for the capacity of upstreams.",
             )?,
             reservations: registrar.counter_vec(
                 "limpetkeel_relay_reservations_total",
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use bytes::{Bytes, BytesMut};
-use limpetkeel::{Millis, RelayedRequest, ResponseForm, RetryPolicy, Sent, UpstreamName};
+use limpetkeel::{Millis, Plan, RelayedRequest, ResponseForm, RetryPolicy, Sent, UpstreamName};
 
 use crate::relay::{
     availability, caller_request, drain, planning, port, response_writer, retry_budget, shared,
@@ -83,17 +83,16 @@
 /// `last` means that no retry is allowed after this attempt.
 fn response_timeout(
     request: &caller_request::CallerRequest,
+    plan: &Plan,
     remaining: Millis,
-    estimate: Millis,
-    has_helpers: bool,
     last: bool,
 ) -> time::Duration {
     let route = &request.admission.route;
     let objective = route.objective().first_event;
     let max_timeout = caller_request::scale(remaining, MAX_TIMEOUT_SHARE);
-    let estimate_timeout = caller_request::scale(estimate, ESTIMATE_TIMEOUT_FACTOR);
+    let estimate_timeout = caller_request::scale(plan.estimate, ESTIMATE_TIMEOUT_FACTOR);
     // A retry would prefill the complete prompt again and take as long.
-    let too_late_for_retry = has_helpers && max_timeout < estimate_timeout;
+    let too_late_for_retry = !plan.helpers.is_empty() && max_timeout < estimate_timeout;
     if last || too_late_for_retry || route.retry_policy() == RetryPolicy::Never {
         return (remaining + LAST_ATTEMPT_MARGIN).duration();
     }
@@ -160,9 +159,7 @@
     drain::limit_deadline(shared, relayed);
     let remaining = relayed.deadline().since(shared.clock.now());
     let last = !retry_budget::may_retry(shared, relayed);
-    let plan = relayed.plan();
-    let has_helpers = !plan.helpers.is_empty();
-    let timeout = response_timeout(request, remaining, plan.estimate, has_helpers, last);
+    let timeout = response_timeout(request, relayed.plan(), remaining, last);
     let response_deadline = tokio::time::Instant::now() + timeout;
     let req = build_request(shared, request, relayed, context.helpers, remaining);
     let process = availability::process_at(shared, &relayed.info().pool, &relayed.plan().lead);
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -83,7 +83,7 @@
     planned
 }
 
-/// Logs the memory of a pool that refuses a prompt.
+/// Logs the memory of a pool that lacks capacity for a request.
 fn log_free_memory(planner: &Planner, plan_request: &PlanRequest) {
     let free = planner.free_memory(plan_request);
     tracing::info!(
@@ -97,7 +97,7 @@
         other_engines = free.other_engines,
         other_free = free.other.0,
         other_largest = free.largest_other.0,
-        waiting = free.waiting_prompts,
+        waiting = free.waiting_requests,
         set_aside = free.set_aside.0,
     );
 }
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -209,7 +209,7 @@
         .lock()
         .instances
         .planners(now, plan_request.pool.as_str());
-    let mut local_request = plan_request.clone();
+    let mut planner_count = 1;
     for planner in planners {
         if shared.is_local(&planner) {
             break;
@@ -241,9 +241,13 @@
             request,
         );
         // Every other instance may be without a planner as well.
-        local_request.planners = shared.membership.lock().instances.len() as u32;
+        planner_count = shared.membership.lock().instances.len() as u32;
     }
-    let plan = shared.jobs.plan(local_request).await?;
+    let plan_request = PlanRequest {
+        planners: planner_count,
+        ..plan_request.clone()
+    };
+    let plan = shared.jobs.plan(plan_request).await?;
     Ok((plan, None))
 }
 
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -15,7 +15,7 @@
 /// Time between plan requests while the pool has no capacity.
 const REPLAN_INTERVAL: time::Duration = time::Duration::from_millis(40);
 
-/// Maximum time between plan requests while a prompt waits for its turn. A few of them fit into the
+/// Maximum time between plan requests while a request waits for its turn. A few of them fit into the
 /// time for which the planner keeps it.
 const MAX_REPLAN_INTERVAL: time::Duration = time::Duration::from_millis(120);
 
@@ -37,7 +37,7 @@
 }
 
 /// Obtains a plan. While the pool has no upstream or no helper, waits for a share of the objective. A
-/// prompt that waits for its turn does so until the planner refuses it.
+/// request that waits for its turn does so until the planner refuses it.
 ///
 /// # Errors
 ///
@@ -103,7 +103,7 @@
     }
 }
 
-/// Logs and counts that a prompt waits for its turn.
+/// Logs and counts that a request waits for its turn.
 fn log_waiting(
     shared: &shared::Shared,
     request: &caller_request::CallerRequest,
--- a/limpetkeeld/src/relay/request_summary.rs
+++ b/limpetkeeld/src/relay/request_summary.rs
@@ -21,7 +21,7 @@
         /// The time until a request with the part may be admitted.
         retry_after: Millis,
     },
-    /// The prompt would have waited too long for the memory or the prefill capacity of engines.
+    /// The request would have waited too long for the capacity of upstreams.
     NoCapacity {
         /// The time until capacity is expected.
         retry_after: Millis,
