--- a/limpetkeel/tests/request_limit.rs
+++ b/limpetkeel/tests/request_limit.rs
@@ -1,45 +1,15 @@
 //! Tests of the request limits that upstreams announce to one instance.
 
-use limpetkeel::{
-    AnnouncedLimit, AnnouncedLimits, Millis, PoolName, RequestRate, Revision, Timestamp,
-    UpstreamAddress, UpstreamProcess, UpstreamRegistry, UpstreamRegistryEntry, UpstreamState,
-};
-use test_case::test_case;
+#[path = "fixtures/registry.rs"]
+mod registry;
 
-fn pool() -> PoolName {
-    "desk".try_into().expect("name")
-}
+use limpetkeel::{AnnouncedLimit, AnnouncedLimits, Millis, RequestRate, Timestamp};
+use test_case::test_case;
 
 fn limited(per_second: f64) -> AnnouncedLimit {
     AnnouncedLimit::Limited(RequestRate::try_from(per_second).expect("rate"))
 }
 
-/// Returns a registry that lists upstreams with these names, started at a time.
-fn registry(names: &[&str], start_time: u64) -> UpstreamRegistry {
-    let mut registry = UpstreamRegistry::default();
-    for name in names {
-        assert!(registry.upsert(UpstreamRegistryEntry {
-            name: (*name).try_into().expect("name"),
-            pool: pool(),
-            availability_zone: "songino".try_into().expect("name"),
-            address: ([127, 0, 0, 1], 8080).into(),
-            slots: 6,
-            state: UpstreamState::Ready,
-            start_time,
-            revision: Revision(1),
-        }));
-    }
-    registry
-}
-
-fn process(registry: &UpstreamRegistry, name: &str) -> UpstreamProcess {
-    let address = UpstreamAddress {
-        upstream: name.try_into().expect("name"),
-        address: ([127, 0, 0, 1], 8080).into(),
-    };
-    UpstreamProcess::at(registry, &pool(), &address).expect("process")
-}
-
 #[test_case(-1.0)]
 #[test_case(f64::NAN)]
 #[test_case(f64::INFINITY)]
@@ -49,11 +19,11 @@
 
 #[test]
 fn a_limit_holds_until_the_process_names_another_or_none() {
-    let registry = registry(&["a"], 1);
-    let process = process(&registry, "a");
+    let registry = registry::registry(&["a"], 1);
+    let process = registry::process(&registry, "a");
     let mut limits = AnnouncedLimits::default();
     assert!(!limits.record(Timestamp(0), &process, AnnouncedLimit::Unlimited));
-    assert!(limits.notices(Timestamp(0), &pool()).is_empty());
+    assert!(limits.notices(Timestamp(0), &registry::pool()).is_empty());
     for (now, limit, is_change) in [
         (100, limited(2.0), true),
         (200, limited(2.0), false),
@@ -61,7 +31,7 @@
         (400, AnnouncedLimit::Unlimited, true),
     ] {
         assert_eq!(limits.record(Timestamp(now), &process, limit), is_change);
-        let notices = limits.notices(Timestamp(now + 50), &pool());
+        let notices = limits.notices(Timestamp(now + 50), &registry::pool());
         assert_eq!(notices.len(), 1);
         assert_eq!((notices[0].limit, notices[0].age), (limit, Millis(50)));
     }
@@ -69,34 +39,34 @@
 
 #[test]
 fn a_restart_under_the_same_name_begins_without_a_limit() {
-    let (before, after) = (registry(&["a"], 1), registry(&["a"], 2));
+    let (before, after) = (registry::registry(&["a"], 1), registry::registry(&["a"], 2));
     let mut limits = AnnouncedLimits::default();
-    limits.record(Timestamp(0), &process(&before, "a"), limited(1.0));
+    limits.record(Timestamp(0), &registry::process(&before, "a"), limited(1.0));
     limits.remove_replaced(&after);
-    assert!(limits.notices(Timestamp(0), &pool()).is_empty());
-    limits.record(Timestamp(0), &process(&before, "a"), limited(1.0));
+    assert!(limits.notices(Timestamp(0), &registry::pool()).is_empty());
+    limits.record(Timestamp(0), &registry::process(&before, "a"), limited(1.0));
     limits.record(
         Timestamp(1),
-        &process(&after, "a"),
+        &registry::process(&after, "a"),
         AnnouncedLimit::Unlimited,
     );
-    assert!(limits.notices(Timestamp(1), &pool()).is_empty());
+    assert!(limits.notices(Timestamp(1), &registry::pool()).is_empty());
 }
 
 #[test]
 fn the_notices_are_of_the_pool_and_bounded_with_the_latest_first() {
     let names: Vec<_> = (0..40).map(|number| format!("u{number:02}")).collect();
     let names: Vec<_> = names.iter().map(String::as_str).collect();
-    let registry = registry(&names, 1);
+    let registry = registry::registry(&names, 1);
     let mut limits = AnnouncedLimits::default();
     for (now, name) in names.iter().enumerate() {
         limits.record(
             Timestamp(now as u64),
-            &process(&registry, name),
+            &registry::process(&registry, name),
             limited(1.0),
         );
     }
-    let notices = limits.notices(Timestamp(100), &pool());
+    let notices = limits.notices(Timestamp(100), &registry::pool());
     assert_eq!(notices.len(), 32);
     assert_eq!(notices[0].upstream.as_str(), "u39");
     let other = "advisor".try_into().expect("name");
