--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -1,5 +1,7 @@
 //! A stand-in for an upstream of relayed requests, whose failures can be controlled.
 
+mod http;
+
 use std::{collections, net, sync, time};
 
 use platform::names;
@@ -196,9 +198,9 @@
 
     /// Handles the one request of a connection. Returns `None` if the connection fails.
     async fn serve(&self, mut stream: tcp::TcpStream) -> Option<()> {
-        let head = read_head(&mut stream).await?;
+        let head = http::read_head(&mut stream).await?;
         let behavior = self.state.lock().behavior.unwrap_or(Behavior::Normal);
-        let mut request = parse_head(&head.text);
+        let mut request = http::parse_head(&head.text);
         if behavior == Behavior::EarlyResponse {
             request.ran = true;
             let id = request.id.clone();
@@ -257,11 +259,11 @@
         let not_run = format!("{}: 1\r\n", names::REQUEST_NOT_RUN);
         let response = self.encode_response(id, 200, "answer");
         let bytes = match behavior {
-            Behavior::Leaving => add_header(&response, &leaving_header()),
-            Behavior::Limited(limit) => add_header(&response, &limit_header(limit)),
+            Behavior::Leaving => http::add_header(&response, &http::leaving_header()),
+            Behavior::Limited(limit) => http::add_header(&response, &http::limit_header(limit)),
             Behavior::LeavingWithWrongId => {
                 let response = self.encode_response("another", 200, "not yours");
-                add_header(&response, &leaving_header())
+                http::add_header(&response, &http::leaving_header())
             }
             Behavior::Decline => format!("HTTP/1.1 503 Busy\r\n{not_run}content-length: 0\r\n\r\n"),
             Behavior::DeclineFor(ms) => format!(
@@ -314,8 +316,8 @@
         let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
         let (id_header, signature_header) = (names::REQUEST_ID, names::RESPONSE_SIGNATURE);
         let statement = match behavior {
-            Behavior::Leaving => leaving_header(),
-            Behavior::Limited(limit) => limit_header(limit),
+            Behavior::Leaving => http::leaving_header(),
+            Behavior::Limited(limit) => http::limit_header(limit),
             _ => String::new(),
         };
         let head = format!(
@@ -330,7 +332,9 @@
             match behavior {
                 Behavior::CutAfter(count) if sent == count => {
                     let first_half = &text[..text.len() / 2];
-                    let _ = stream.write_all(encode_chunk(first_half).as_bytes()).await;
+                    let _ = stream
+                        .write_all(http::encode_chunk(first_half).as_bytes())
+                        .await;
                     return Some(());
                 }
                 Behavior::HangAfter(count) if sent == count => {
@@ -343,7 +347,7 @@
                 _ => {}
             }
             if stream
-                .write_all(encode_chunk(&text).as_bytes())
+                .write_all(http::encode_chunk(&text).as_bytes())
                 .await
                 .is_err()
             {
@@ -376,71 +380,3 @@
             | Behavior::GapAfterTwo(_)
     )
 }
-
-/// Encodes the header by which an upstream states that it is leaving.
-fn leaving_header() -> String {
-    format!("{}: 1\r\n", names::LEAVING)
-}
-
-/// Encodes the header by which an upstream names its limit, in thousandths of a request per second.
-fn limit_header(limit: u32) -> String {
-    format!(
-        "{}: {}.{:03}\r\n",
-        names::REQUEST_LIMIT,
-        limit / 1_000,
-        limit % 1_000
-    )
-}
-
-/// Adds a header to a response.
-fn add_header(response: &str, header: &str) -> String {
-    response.replacen("\r\n\r\n", &format!("\r\n{header}\r\n"), 1)
-}
-
-/// Encodes a chunk of the chunked transfer coding.
-fn encode_chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-/// The head of a request, and the bytes of the body that were read with it.
-struct Head {
-    text: String,
-    body_start: Vec<u8>,
-}
-
-/// Reads a connection up to the end of the request head.
-async fn read_head(stream: &mut tcp::TcpStream) -> Option<Head> {
-    let mut bytes = Vec::new();
-    loop {
-        let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
-        if let Some(end) = end {
-            let body_start = bytes.split_off(end + 4);
-            let text = String::from_utf8(bytes).ok()?;
-            return Some(Head { text, body_start });
-        }
-        let mut buf = [0; 4096];
-        let count = stream.read(&mut buf).await.ok()?;
-        if count == 0 {
-            return None;
-        }
-        bytes.extend_from_slice(&buf[..count]);
-    }
-}
-
-/// Parses a request head; the body is left empty.
-fn parse_head(text: &str) -> ReceivedRequest {
-    let mut lines = text.lines();
-    let request_line = lines.next().unwrap_or_default().to_owned();
-    let headers: collections::BTreeMap<_, _> = lines
-        .filter_map(|line| line.split_once(':'))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
-        .collect();
-    let id = headers.get(names::REQUEST_ID.as_str()).cloned();
-    ReceivedRequest {
-        id: id.unwrap_or_default(),
-        request_line,
-        headers,
-        body: Vec::new(),
-        ran: false,
-    }
-}
