Let the tests of deadly parts wait until both daemons know both

The log shows that the daemons had no common planner: the second one asked the first as long as it had not read its own entry, and planned for itself afterwards, so that each planner saw two crashes. The wait before the test looked at one pair of plans, and took a line that was not written yet for a plan by the peer.

Change: the tests publish a table after both daemons are registered and wait until it is in force on both; the store delivers their entries before it. The checks and bounds are unchanged.

--- a/standins/tests/prompt_parts.rs
+++ b/standins/tests/prompt_parts.rs
@@ -5,6 +5,7 @@
 use platform::names;
 use standins::deployment::{
     daemon::{self, CallerResponse, Deployment},
+    table::Table,
     upstream::{self, Behavior},
 };
 
@@ -37,24 +38,27 @@
     deployment.send(req).await.expect("response")
 }
 
-/// Waits until one daemon plans the requests of both.
+/// Waits until both daemons know both, so that one of them plans all requests.
+///
+/// A table that is published after both are registered comes after their entries in the store.
 async fn wait_for_common_planner(deployment: &Deployment) {
-    daemon::wait_until("both daemons have the same planner", async || {
-        let ids = [0, 1].map(|index| format!("probe{index}-{:016x}", rand::random::<u64>()));
-        for (index, id) in ids.iter().enumerate() {
-            let probe = deployment.request(index, "POST", "/stream/x", id);
-            deployment.send(probe).await.expect("response");
-        }
-        let log = deployment.log();
-        let planned_locally = ids.map(|id| {
-            let request = format!("event=planned request={id} ");
-            log.lines()
-                .any(|line| line.contains(&request) && line.contains("planner=own"))
-        });
-        planned_locally[0] != planned_locally[1]
+    daemon::wait_until("both daemons are registered", async || {
+        deployment.log().matches("event=registered").count() == 2
+    })
+    .await
+    .expect("registered");
+    let table = Table {
+        version: 2,
+        extra_routes: vec!["new".to_owned()],
+        ..Table::default()
+    };
+    deployment.publish_table(&table).expect("table");
+    daemon::wait_until("the table is in force", async || {
+        let statuses = [0, 1].map(|index| deployment.get_status(index, "/new/x"));
+        futures_util::future::join_all(statuses).await == [200, 200]
     })
     .await
-    .expect("common planner");
+    .expect("in force");
 }
 
 /// Returns the number of requests with the deadly part that have reached an upstream.
