--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -49,6 +49,7 @@
     let now = shared.clock.now();
     let mut tables = shared.tables.lock();
     if snapshot.revision < tables.revision {
+        log_outdated("snapshot", snapshot.revision, &tables);
         return;
     }
     for key in &snapshot.unreadable {
@@ -99,6 +100,9 @@
     let now = shared.clock.now();
     let mut tables = shared.tables.lock();
     if changes.revision <= tables.revision {
+        if !changes.changes.is_empty() {
+            log_outdated("changes", changes.revision, &tables);
+        }
         return;
     }
     tables.change_log.append(&changes);
@@ -183,6 +187,17 @@
     tracing::warn!(event = "entry_unreadable", key);
 }
 
+/// Logs an update that is not applied because the tables are newer.
+fn log_outdated(kind: &str, revision: Revision, tables: &shared::Tables) {
+    tracing::info!(
+        event = "update_outdated",
+        kind,
+        revision = %revision,
+        known = %tables.revision,
+        version = tables.ingress.version(),
+    );
+}
+
 /// Returns how to treat an entry that the store reports as deleted at `now`.
 pub fn classify_removal(tables: &shared::Tables, now: Timestamp) -> Removal {
     if now < tables.doubtful_until {
