--- a/limpetkeel/src/instance.rs
+++ b/limpetkeel/src/instance.rs
@@ -3,7 +3,7 @@
 //! `Joining` becomes `Live` once tables are in force and the upstreams are known. `Joining` and
 //! `Live` become `Draining`, and `Draining` becomes `Stopped` when no request is in progress.
 
-use crate::{drain_schedule, name, revision, unit};
+use crate::{drain_schedule, name, unit};
 
 /// A draining instance accepts requests for this long, so that load balancers can react.
 pub const DRAINING_GRACE: unit::Millis = unit::Millis(2_000);
@@ -74,10 +74,10 @@
     /// Returns the instance unchanged if either is missing.
     pub fn go_live(
         self,
-        revision: revision::Revision,
+        tables_known: bool,
         upstreams_known: bool,
     ) -> Result<Instance<Live>, Instance<Joining>> {
-        if revision == revision::Revision::default() || !upstreams_known {
+        if !tables_known || !upstreams_known {
             return Err(self);
         }
         Ok(self.into_state(Live(())))
@@ -141,10 +141,10 @@
     /// Makes a joining instance live if tables are in force and the upstreams are known.
     ///
     /// Other states are returned unchanged.
-    pub fn go_live(self, revision: revision::Revision, upstreams_known: bool) -> InstanceState {
+    pub fn go_live(self, tables_known: bool, upstreams_known: bool) -> InstanceState {
         match self {
             InstanceState::Joining(instance) => instance
-                .go_live(revision, upstreams_known)
+                .go_live(tables_known, upstreams_known)
                 .map_or_else(InstanceState::Joining, InstanceState::Live),
             other => other,
         }
--- a/limpetkeel/src/instance_registry.rs
+++ b/limpetkeel/src/instance_registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use crate::{member, name, unit};
+use crate::{member, name, unit, upstream_registry::Removal};
 
 /// How long an instance that did not respond is skipped before it is tried again. It is long enough
 /// that a frozen planner delays few requests, and short enough that a recovered one is used soon.
@@ -20,6 +20,10 @@
 /// for each watcher; with two watchers, the zone stays current if one fails.
 const WATCHERS: usize = 2;
 
+/// How long an instance whose entry disappeared while the store was unhealthy is kept. It covers the
+/// time until the instance finds that its lease has ended, and registers again.
+const UNLISTED_GRACE: unit::Millis = unit::Millis(4_000);
+
 /// The key for the rendezvous hashing of watchers.
 const WATCH_KEY: &str = "store-watch";
 
@@ -35,6 +39,8 @@
 pub struct InstanceRegistry {
     local: member::Contact,
     contacts: collections::BTreeMap<name::InstanceName, member::Contact>,
+    /// When the entries of instances disappeared whose removal is doubtful.
+    unlisted: collections::BTreeMap<name::InstanceName, unit::Timestamp>,
     suspicions: collections::BTreeMap<name::InstanceName, Suspicion>,
 }
 
@@ -44,6 +50,7 @@
         InstanceRegistry {
             local,
             contacts: collections::BTreeMap::new(),
+            unlisted: collections::BTreeMap::new(),
             suspicions: collections::BTreeMap::new(),
         }
     }
@@ -66,26 +73,66 @@
 
     /// Returns the listed instances.
     pub fn contacts(&self) -> Vec<member::Contact> {
-        self.contacts.values().cloned().collect()
+        let listed = self.contacts.values();
+        listed
+            .filter(|contact| !self.unlisted.contains_key(&contact.name))
+            .cloned()
+            .collect()
     }
 
     /// Adds or replaces an instance.
     pub fn insert(&mut self, contact: member::Contact) {
+        self.unlisted.remove(&contact.name);
         self.contacts.insert(contact.name.clone(), contact);
     }
 
-    /// Removes an instance.
-    pub fn remove(&mut self, name: &name::InstanceName) {
-        self.contacts.remove(name);
-        self.suspicions.remove(name);
+    /// Removes an instance whose entry was deleted. If the removal is doubtful, the instance is kept
+    /// for a while.
+    pub fn remove(&mut self, now: unit::Timestamp, name: &name::InstanceName, removal: Removal) {
+        match removal {
+            Removal::Doubtful if self.contacts.contains_key(name) => {
+                self.unlisted.entry(name.clone()).or_insert(now);
+            }
+            _ => {
+                self.contacts.remove(name);
+                self.unlisted.remove(name);
+                self.suspicions.remove(name);
+            }
+        }
     }
 
-    /// Replaces all instances.
-    pub fn replace(&mut self, contacts: Vec<member::Contact>) {
-        self.contacts = contacts
-            .into_iter()
-            .map(|contact| (contact.name.clone(), contact))
+    /// Replaces the instances with all those that the store lists. `removal` applies to the ones that
+    /// are no longer listed.
+    pub fn replace(
+        &mut self,
+        now: unit::Timestamp,
+        contacts: Vec<member::Contact>,
+        removal: Removal,
+    ) {
+        let missing: Vec<_> = self
+            .contacts
+            .keys()
+            .filter(|name| !contacts.iter().any(|contact| contact.name == **name))
+            .cloned()
             .collect();
+        for name in missing {
+            self.remove(now, &name, removal);
+        }
+        for contact in contacts {
+            self.insert(contact);
+        }
+    }
+
+    /// Removes the instances that have been unlisted for too long.
+    pub fn remove_expired(&mut self, now: unit::Timestamp) {
+        let since = self.unlisted.iter();
+        let expired: Vec<_> = since
+            .filter(|(_, since)| now.since(**since) >= UNLISTED_GRACE)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in expired {
+            self.remove(now, &name, Removal::Certain);
+        }
     }
 
     /// Records that an instance did not respond, so that it is skipped for a while.
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -9,7 +9,7 @@
 //! Operators edit routes and pools. Routes refer to pools by name, and both are validated together:
 //!
 //! ```
-//! use limpetkeel::{Declarations, Error, Revision, Tables};
+//! use limpetkeel::{Declarations, Era, Error, Revision, Tables};
 //!
 //! let declarations: Declarations = toml::from_str(r#"
 //!     [routes.advice]
@@ -20,7 +20,7 @@
 //! "#).unwrap();
 //! // The pool does not exist.
 //! assert!(matches!(declarations.validation_errors()[..], [Error::DanglingPool { .. }]));
-//! assert!(Tables::try_from((Revision(1), declarations)).is_err());
+//! assert!(Tables::try_from((Revision::new(Era::default(), 1), declarations)).is_err());
 //! ```
 //!
 //! # Placement
@@ -124,7 +124,7 @@
 pub use request_limit::{AnnouncedLimit, AnnouncedLimits, LimitNotice, RequestRate};
 pub use request_size::{LONG_PROMPT, RequestSize, TokenEstimator};
 pub use retry_window::{RetryLimit, RetryWindow};
-pub use revision::Revision;
+pub use revision::{Era, Revision};
 pub use route::{Declaration as RouteDeclaration, Kind as RouteKind, Route};
 pub use run_once::{
     CallKey, MAX_STORED_BODY, RUN_ONCE_RETENTION, RecordUpdate, RunOnceClaim, RunOnceShard,
--- a/limpetkeel/src/quarantine_list.rs
+++ b/limpetkeel/src/quarantine_list.rs
@@ -4,6 +4,9 @@
 //! planners. A local update takes effect at once and is queued to be written to the store. It
 //! takes precedence over the entry of its part until the changes up to the revision of the write
 //! have been applied, so that an older change that arrives meanwhile does not revert it.
+//!
+//! A store that comes back from an older copy has lost the latest writes. The instance that wrote an
+//! update queues it again, and the others keep the lost entries in force until then.
 
 use std::collections;
 
@@ -28,15 +31,35 @@
     pub revision: revision::Revision,
 }
 
-/// An update of a local planner.
+/// How far a local update has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+enum Progress {
+    /// It is to be written to the store.
+    Queued,
+    /// It was written at a revision.
+    Written(revision::Revision),
+    /// The store has lost the entry, and the instance that wrote it writes it again.
+    Retained,
+}
+
+/// An update that the entries of the store may not include.
 #[derive(Clone, Copy, Debug)]
 struct LocalUpdate {
     update: prompt_part::QuarantineUpdate,
     /// The position among the local updates, by which they are written.
     position: u64,
     published_at: unit::Timestamp,
-    /// The revision of the write, or `None` if it is outstanding.
-    written_at: Option<revision::Revision>,
+    progress: Progress,
+}
+
+impl LocalUpdate {
+    /// Returns `true` if the update was written at or before a revision of the same era.
+    fn is_included(&self, at: revision::Revision) -> bool {
+        match self.progress {
+            Progress::Written(written) => written.era() == at.era() && written <= at,
+            Progress::Queued | Progress::Retained => false,
+        }
+    }
 }
 
 /// The quarantine list.
@@ -48,6 +71,8 @@
     revision: revision::Revision,
     /// The local updates that the entries may not include.
     local: collections::BTreeMap<prompt_part::PartId, LocalUpdate>,
+    /// The latest updates that this instance has written, which the entries include.
+    written: collections::BTreeMap<prompt_part::PartId, LocalUpdate>,
     /// The position of the next local update.
     next_position: u64,
     /// The number of changes, by which users of the list detect that their copy is outdated.
@@ -95,7 +120,11 @@
         if known.is_some_and(|known| known.revision > entry.revision) {
             return;
         }
-        self.modify(part, |list| list.stored.insert(part, entry));
+        self.forget_written(part, entry.revision);
+        self.modify(part, |list| {
+            list.forget_retained(part);
+            list.stored.insert(part, entry)
+        });
         if self.stored.len() > MAX_QUARANTINES {
             self.remove_oldest();
         }
@@ -103,14 +132,37 @@
 
     /// Applies the removal of an entry from the store at a revision.
     pub fn remove(&mut self, part: prompt_part::PartId, at: revision::Revision) {
+        self.forget_written(part, at);
         let known = self.stored.get(&part);
         if known.is_some_and(|known| known.revision <= at) {
             self.modify(part, |list| list.stored.remove(&part));
         }
     }
 
+    /// Forgets a written update of a part that another instance has updated since.
+    fn forget_written(&mut self, part: prompt_part::PartId, at: revision::Revision) {
+        let written = self.written.get(&part).map(|written| written.progress);
+        if written.is_some_and(|progress| progress < Progress::Written(at)) {
+            self.written.remove(&part);
+        }
+    }
+
+    /// Forgets a retained quarantine, because the store lists the part again.
+    fn forget_retained(&mut self, part: prompt_part::PartId) {
+        let local = self.local.get(&part);
+        if local.is_some_and(|local| local.progress == Progress::Retained) {
+            self.local.remove(&part);
+        }
+    }
+
     /// Replaces the entries of the store with those at a revision.
-    pub fn replace(&mut self, entries: Vec<Entry>, at: revision::Revision) {
+    ///
+    /// If the revision is of a later era, the store may have lost what it acknowledged: written
+    /// updates that it does not include are queued again, and other lost quarantines are retained.
+    pub fn replace(&mut self, now: unit::Timestamp, entries: Vec<Entry>, at: revision::Revision) {
+        if self.revision.era() < at.era() && self.revision != revision::Revision::default() {
+            self.recover_lost(now, &entries);
+        }
         let listed: collections::BTreeSet<_> =
             entries.iter().map(|entry| entry.quarantine.part).collect();
         let removed: Vec<_> = self
@@ -128,16 +180,79 @@
         self.advance(at);
     }
 
+    /// Queues the written updates again that the entries of a new era do not include, and retains
+    /// the quarantines that they have lost.
+    fn recover_lost(&mut self, now: unit::Timestamp, entries: &[Entry]) {
+        let mut lost: Vec<_> = std::mem::take(&mut self.written).into_values().collect();
+        let local = self.local.values();
+        lost.extend(local.filter(|local| matches!(local.progress, Progress::Written(_))));
+        for local in &mut lost {
+            local.progress = Progress::Queued;
+        }
+        let stored = self.stored.values().map(|entry| entry.quarantine);
+        let unpublished = stored.filter(|quarantine| {
+            let is_lost = |local: &LocalUpdate| part_of(local.update) == quarantine.part;
+            !lost.iter().any(is_lost) && !self.local.contains_key(&quarantine.part)
+        });
+        let retained = unpublished.map(|quarantine| LocalUpdate {
+            update: prompt_part::QuarantineUpdate::Imposed(quarantine),
+            position: 0,
+            published_at: now,
+            progress: Progress::Retained,
+        });
+        lost.extend(retained.collect::<Vec<_>>());
+        for mut local in lost {
+            let part = part_of(local.update);
+            let listed = entries.iter().find(|entry| entry.quarantine.part == part);
+            let is_included = match (local.update, listed) {
+                (prompt_part::QuarantineUpdate::Imposed(quarantine), Some(entry)) => {
+                    entry.quarantine.crashes >= quarantine.crashes
+                }
+                (prompt_part::QuarantineUpdate::Lifted(_), None) => true,
+                _ => false,
+            };
+            if is_included {
+                self.modify(part, |list| list.local.remove(&part));
+            } else {
+                local.position = self.take_position();
+                self.modify(part, |list| list.local.insert(part, local));
+            }
+        }
+    }
+
     /// Records that all changes up to a revision have been applied.
     pub fn advance(&mut self, revision: revision::Revision) {
         self.revision = self.revision.max(revision);
         let included: Vec<_> = self
             .local
             .iter()
-            .filter(|(_, local)| local.written_at.is_some_and(|at| at <= self.revision))
+            .filter(|(_, local)| local.is_included(self.revision))
+            .map(|(part, local)| (*part, *local))
+            .collect();
+        for (part, local) in included {
+            self.modify(part, |list| list.local.remove(&part));
+            self.written.insert(part, local);
+        }
+        while self.written.len() > MAX_LOCAL_UPDATES {
+            let oldest = self.written.iter().min_by_key(|(_, local)| local.position);
+            let Some(part) = oldest.map(|(part, _)| *part) else {
+                break;
+            };
+            self.written.remove(&part);
+        }
+    }
+
+    /// Removes the updates and the retained quarantines that are older than [`QUARANTINE_LIFETIME`].
+    pub fn remove_expired(&mut self, now: unit::Timestamp) {
+        let is_current = |local: &LocalUpdate| now.since(local.published_at) <= QUARANTINE_LIFETIME;
+        self.written.retain(|_, local| is_current(local));
+        let expired: Vec<_> = self
+            .local
+            .iter()
+            .filter(|(_, local)| local.progress == Progress::Retained && !is_current(local))
             .map(|(part, _)| *part)
             .collect();
-        for part in included {
+        for part in expired {
             self.modify(part, |list| list.local.remove(&part));
         }
     }
@@ -150,7 +265,7 @@
             update,
             position: self.take_position(),
             published_at: now,
-            written_at: None,
+            progress: Progress::Queued,
         };
         self.modify(part, |list| list.local.insert(part, local));
         if self.local.len() > MAX_LOCAL_UPDATES
@@ -165,7 +280,7 @@
     /// Updates whose writes have failed for longer than [`QUARANTINE_LIFETIME`] are discarded.
     pub fn next_write(&mut self, now: unit::Timestamp) -> Option<prompt_part::QuarantineUpdate> {
         loop {
-            let part = self.oldest_local(|local| local.written_at.is_none())?;
+            let part = self.oldest_local(|local| local.progress == Progress::Queued)?;
             let local = self.local.get(&part)?;
             if now.since(local.published_at) <= QUARANTINE_LIFETIME {
                 return Some(local.update);
@@ -185,7 +300,7 @@
         if let Some(local) = self.local.get_mut(&part_of(update))
             && local.update == update
         {
-            local.written_at = Some(revision);
+            local.progress = Progress::Written(revision);
         }
         self.advance(self.revision);
     }
--- a/limpetkeel/src/store_snapshot.rs
+++ b/limpetkeel/src/store_snapshot.rs
@@ -12,7 +12,7 @@
 pub struct StoreSnapshot {
     /// The revision of the snapshot.
     pub revision: revision::Revision,
-    /// The newest table of relayed traffic, if any.
+    /// The newest table of relayed traffic, unless there is none or the receiver has it.
     pub ingress: Option<sync::Arc<ingress::Declaration>>,
     /// The upstreams.
     pub upstreams: Vec<upstream_registry::Entry>,
@@ -196,7 +196,7 @@
 }
 
 impl StoreChangeLog {
-    /// Clears the log after the first snapshot has been applied.
+    /// Clears the log after the first snapshot of an era has been applied.
     pub fn reset(&mut self, at: revision::Revision) {
         self.complete_after = at;
         self.changes.clear();
--- a/limpetkeel/src/upstream_registry.rs
+++ b/limpetkeel/src/upstream_registry.rs
@@ -1,7 +1,8 @@
 //! The upstream registry: the upstreams of relayed traffic that the platform's store lists.
 //!
 //! Every entry has the revision of its last change, so that a late or duplicate response of the
-//! store does not overwrite newer data.
+//! store does not overwrite newer data. An entry of a later era may come from a copy that is older
+//! than what is known: it neither brings back a process that has left nor one that was replaced.
 
 use std::{collections, net};
 
@@ -59,12 +60,22 @@
     Doubtful,
 }
 
+/// What is remembered of a removed entry.
+#[derive(Clone, Copy, Debug)]
+struct RemovedEntry {
+    /// The revision of the removal.
+    at: revision::Revision,
+    /// When the process of the entry started.
+    start_time: u64,
+    /// Whether the process has left, so that a copy that lists it is outdated.
+    has_left: bool,
+}
+
 /// The upstream registry.
 #[derive(Debug, Default)]
 pub struct UpstreamRegistry {
     entries: collections::BTreeMap<name::UpstreamName, TrackedEntry>,
-    /// The revisions at which entries were removed.
-    removed: collections::BTreeMap<name::UpstreamName, revision::Revision>,
+    removed: collections::BTreeMap<name::UpstreamName, RemovedEntry>,
     /// The number of changes, by which users of the registry detect that their copy is outdated.
     generation: u64,
 }
@@ -77,11 +88,15 @@
 
     /// Applies an entry if its revision is newer than the last one of the upstream, or if it is the
     /// known entry and that is missing. Returns `true` if the entry was applied.
-    pub fn upsert(&mut self, entry: Entry) -> bool {
+    ///
+    /// The first entry of an era does not replace that of a later process, and a process that was
+    /// leaving counts as draining until a later entry of the era.
+    pub fn upsert(&mut self, mut entry: Entry) -> bool {
         let known = self.entries.get(&entry.name);
+        let removed = self.removed.get(&entry.name);
         let newest = known
             .map(|tracked| tracked.entry.revision)
-            .max(self.removed.get(&entry.name).copied());
+            .max(removed.map(|removed| removed.at));
         let was_missing = known.is_some_and(|tracked| tracked.missing_since.is_some());
         let is_outdated = newest.is_some_and(|newest| {
             newest > entry.revision || (newest == entry.revision && !was_missing)
@@ -89,6 +104,22 @@
         if is_outdated {
             return false;
         }
+        let begins_era = newest.is_some_and(|newest| newest.era() < entry.revision.era());
+        if begins_era {
+            if known.is_some_and(|tracked| tracked.entry.start_time > entry.start_time) {
+                return false;
+            }
+            let left_at = match (known, removed) {
+                (Some(tracked), _) if tracked.entry.state == UpstreamState::Draining => {
+                    Some(tracked.entry.start_time)
+                }
+                (None, Some(removed)) if removed.has_left => Some(removed.start_time),
+                _ => None,
+            };
+            if left_at.is_some_and(|start_time| entry.start_time <= start_time) {
+                entry.state = UpstreamState::Draining;
+            }
+        }
         self.removed.remove(&entry.name);
         self.generation += 1;
         let name = entry.name.clone();
@@ -121,8 +152,13 @@
                 tracked.missing_since.get_or_insert((now, at));
             }
             _ => {
+                let removed = RemovedEntry {
+                    at,
+                    start_time: tracked.entry.start_time,
+                    has_left: true,
+                };
                 self.entries.remove(name);
-                self.removed.insert(name.clone(), at);
+                self.removed.insert(name.clone(), removed);
             }
         }
     }
@@ -158,20 +194,25 @@
             .iter()
             .filter_map(|(name, tracked)| {
                 let (since, at) = tracked.missing_since?;
-                (now.since(since) >= MISSING_GRACE).then(|| (name.clone(), at))
+                let removed = RemovedEntry {
+                    at,
+                    start_time: tracked.entry.start_time,
+                    has_left: false,
+                };
+                (now.since(since) >= MISSING_GRACE).then(|| (name.clone(), removed))
             })
             .collect();
-        for (name, at) in expired {
+        for (name, removed) in expired {
             self.generation += 1;
             self.entries.remove(&name);
-            self.removed.insert(name, at);
+            self.removed.insert(name, removed);
         }
         let excess = self.removed.len().saturating_sub(MAX_REMOVED);
         if excess > 0 {
-            let mut revisions: Vec<_> = self.removed.values().copied().collect();
+            let mut revisions: Vec<_> = self.removed.values().map(|removed| removed.at).collect();
             revisions.sort();
             let oldest_kept = revisions[excess];
-            self.removed.retain(|_, at| *at >= oldest_kept);
+            self.removed.retain(|_, removed| removed.at >= oldest_kept);
         }
     }
 
--- a/limpetkeel/tests/instance_registry.rs
+++ b/limpetkeel/tests/instance_registry.rs
@@ -1,6 +1,6 @@
 //! Tests of the instance registry: the choice and the order of planners.
 
-use limpetkeel::{Contact, InstanceRegistry, Millicores, Timestamp};
+use limpetkeel::{Contact, InstanceRegistry, Millicores, Removal, Timestamp};
 
 fn contact(name: &str, zone: &str) -> Contact {
     Contact {
@@ -92,7 +92,7 @@
     };
     let before: Vec<_> = keys.iter().map(|key| first(&registry, key)).collect();
     let removed = "y1".try_into().expect("name");
-    registry.remove(&removed);
+    registry.remove(Timestamp(0), &removed, Removal::Certain);
     for (key, before) in keys.iter().zip(before) {
         let after = first(&registry, key);
         assert!(
@@ -122,3 +122,20 @@
     assert_eq!(watchers[0].name.as_str(), "x2", "the large one of the zone");
     assert_eq!(watchers.len(), 2);
 }
+
+#[test]
+fn an_instance_with_a_doubtful_removal_stays_a_planner_until_it_registers_again() {
+    let mut registry = registry();
+    let listed = registry.contacts();
+    let planners = planner_names(&registry, 0);
+    registry.replace(Timestamp(1_000), Vec::new(), Removal::Doubtful);
+    registry.remove_expired(Timestamp(4_900));
+    assert_eq!(planner_names(&registry, 4_900), planners);
+    assert!(registry.contacts().is_empty(), "not listed");
+    for contact in &listed[..6] {
+        registry.insert(contact.clone());
+    }
+    registry.remove_expired(Timestamp(5_000));
+    assert_eq!(registry.contacts(), listed[..6]);
+    assert_eq!(registry.len(), 6);
+}
--- a/limpetkeel/tests/keeper.rs
+++ b/limpetkeel/tests/keeper.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use limpetkeel::{
-    Capacity, Decision, Declarations, Error, Grant, HeldGrant, Keeper, LoadReport, Millis,
+    Capacity, Decision, Declarations, Era, Error, Grant, HeldGrant, Keeper, LoadReport, Millis,
     OutputUsage, PlacementRequest, PoolName, Rank, RequestId, RequestSize, Revision,
     RunningRequest, Tables, Timestamp, Tokens, TokensPerSecond, UpstreamName,
 };
@@ -22,7 +22,7 @@
 fn keeper_with(upstreams: usize, settings: &str) -> Keeper {
     let text = format!("[pools.p]\nkind = \"model\"\n{settings}");
     let declarations: Declarations = toml::from_str(&text).expect("declarations");
-    let tables = Tables::try_from((Revision(1), declarations)).expect("tables");
+    let tables = Tables::try_from((Revision::new(Era(1), 1), declarations)).expect("tables");
     let name = PoolName::try_from("p").expect("name");
     let mut keeper = Keeper::new(tables.pool(&name).expect("pool"));
     keeper.set_upstreams(&listed(upstreams));
--- a/limpetkeel/tests/lease.rs
+++ b/limpetkeel/tests/lease.rs
@@ -1,7 +1,7 @@
 //! Version orders: lease lifetimes on the holder's clock, and updates of one upstream at a time.
 
 use limpetkeel::{
-    Capacity, Decision, Declarations, FencingNumber, KEEPER_HANDOVER, Keeper, LEASE_LIFETIME,
+    Capacity, Decision, Declarations, Era, FencingNumber, KEEPER_HANDOVER, Keeper, LEASE_LIFETIME,
     LeaseState, LoadReport, MAX_HOLDER_PAUSE, Millis, ORDER_TIMEOUT, OutputUsage, PlacementRequest,
     Rank, RequestId, RequestSize, Revision, Tables, Timestamp, Tokens, TokensPerSecond,
     UpstreamName,
@@ -95,7 +95,7 @@
 fn keeper() -> Keeper {
     let declarations: Declarations =
         toml::from_str("[pools.p]\nkind = \"model\"\n").expect("declarations");
-    let tables = Tables::try_from((Revision(1), declarations)).expect("tables");
+    let tables = Tables::try_from((Revision::new(Era(1), 1), declarations)).expect("tables");
     let mut keeper = Keeper::new(tables.pools().next().expect("pool"));
     let address = ([127, 0, 0, 1], 1).into();
     keeper.set_upstreams(&[(upstream(0), address), (upstream(1), address)]);
--- a/limpetkeel/tests/store_snapshot.rs
+++ b/limpetkeel/tests/store_snapshot.rs
@@ -2,7 +2,7 @@
 //! follower at any revision ends with the same entries.
 
 use limpetkeel::{
-    Contact, IngressDeclaration, InstanceRegistry, Millicores, Millis, PartId, Quarantine,
+    Contact, Era, IngressDeclaration, InstanceRegistry, Millicores, Millis, PartId, Quarantine,
     QuarantineList, QuarantineListEntry, Removal, RequestLimits, Revision, StoreChange,
     StoreChangeLog, StoreChanges, StoreSnapshot, Timestamp, UpstreamRegistry,
     UpstreamRegistryEntry, UpstreamState,
@@ -17,12 +17,15 @@
         slots: 6,
         state,
         start_time: 1,
-        revision: Revision(revision),
+        revision: Revision::new(Era(1), revision),
     })
 }
 
 fn removed(name: &str, revision: u64) -> StoreChange {
-    StoreChange::UpstreamRemoved(name.try_into().expect("name"), Revision(revision))
+    StoreChange::UpstreamRemoved(
+        name.try_into().expect("name"),
+        Revision::new(Era(1), revision),
+    )
 }
 
 fn table(version: u64) -> StoreChange {
@@ -47,7 +50,7 @@
         .into_iter()
         .map(|change| (change, Removal::Doubtful));
     StoreChanges {
-        revision: Revision(revision),
+        revision: Revision::new(Era(1), revision),
         changes: changes.collect(),
     }
 }
@@ -71,7 +74,9 @@
     let mut log = StoreChangeLog::default();
     log.append(&changes(1, vec![table(1)]));
     log.append(&changes(2, vec![table(4)]));
-    let newer = log.since(Revision(0), Revision(2)).expect("complete");
+    let newer = log
+        .since(Revision::new(Era(1), 0), Revision::new(Era(1), 2))
+        .expect("complete");
     assert_eq!(versions(&newer), [4]);
 }
 
@@ -137,13 +142,13 @@
         log.append(batch);
         apply(&mut current, batch);
     }
-    let newest = Revision(batches.len() as u64);
+    let newest = Revision::new(Era(1), batches.len() as u64);
     for known in 0..batches.len() {
         let mut follower = UpstreamRegistry::default();
         for batch in &batches[..known] {
             apply(&mut follower, batch);
         }
-        let forwarded = log.since(Revision(known as u64), newest);
+        let forwarded = log.since(Revision::new(Era(1), known as u64), newest);
         apply(&mut follower, &forwarded.expect("the log is complete"));
         assert_eq!(entries(&follower), entries(&current), "after {known}");
     }
@@ -162,7 +167,9 @@
         let change = StoreChange::Instance(contact(revision % 300));
         log.append(&changes(revision, vec![change]));
     }
-    let all = log.since(Revision(0), Revision(1_500)).expect("complete");
+    let all = log
+        .since(Revision::new(Era(1), 0), Revision::new(Era(1), 1_500))
+        .expect("complete");
     assert_eq!(all.changes.len(), 300);
 }
 
@@ -186,19 +193,19 @@
     instances.insert(contact("n1"));
     instances.insert(contact("n2"));
     let snapshot = StoreSnapshot {
-        revision: Revision(9),
+        revision: Revision::new(Era(1), 9),
         upstreams: vec![ready("kept", 1), ready("changed", 8), ready("new", 9)],
         instances: vec![contact("n2"), contact("n3")],
         ..StoreSnapshot::default()
     };
     let quarantines = QuarantineList::default();
     let forwarded = snapshot.changes_from(1, &registry, &instances, &quarantines, Removal::Certain);
-    assert_eq!(forwarded.revision, Revision(9));
+    assert_eq!(forwarded.revision, Revision::new(Era(1), 9));
     assert_eq!(forwarded.changes.len(), 5, "{forwarded:?}");
     apply(&mut registry, &forwarded);
     let names: Vec<_> = entries(&registry)
         .iter()
-        .map(|entry| (entry.name.to_string(), entry.revision.0))
+        .map(|entry| (entry.name.to_string(), entry.revision.number()))
         .collect();
     let expected = [("changed", 8), ("kept", 1), ("new", 9)];
     assert_eq!(
@@ -211,7 +218,7 @@
     let part = PartId(part);
     QuarantineListEntry {
         quarantine: Quarantine { part, crashes },
-        revision: Revision(revision),
+        revision: Revision::new(Era(1), revision),
     }
 }
 
@@ -236,15 +243,16 @@
 fn a_snapshot_forwards_new_changed_and_removed_quarantines() {
     let mut list = QuarantineList::default();
     list.replace(
+        Timestamp(0),
         vec![
             quarantine(1, 2, 1),
             quarantine(2, 2, 2),
             quarantine(3, 2, 3),
         ],
-        Revision(3),
+        Revision::new(Era(1), 3),
     );
     let snapshot = StoreSnapshot {
-        revision: Revision(9),
+        revision: Revision::new(Era(1), 9),
         quarantines: vec![
             quarantine(1, 2, 1),
             quarantine(2, 5, 8),
@@ -272,7 +280,7 @@
             let part = revision * 7 % 13;
             let change = match revision * 5 % 3 {
                 0 | 1 => StoreChange::Quarantine(quarantine(part, revision as u32, revision)),
-                _ => StoreChange::QuarantineRemoved(PartId(part), Revision(revision)),
+                _ => StoreChange::QuarantineRemoved(PartId(part), Revision::new(Era(1), revision)),
             };
             changes(revision, vec![change])
         })
@@ -283,13 +291,13 @@
         log.append(batch);
         apply_quarantines(&mut current, batch);
     }
-    let newest = Revision(batches.len() as u64);
+    let newest = Revision::new(Era(1), batches.len() as u64);
     for known in 0..batches.len() {
         let mut follower = QuarantineList::default();
         for batch in &batches[..known] {
             apply_quarantines(&mut follower, batch);
         }
-        let forwarded = log.since(Revision(known as u64), newest);
+        let forwarded = log.since(Revision::new(Era(1), known as u64), newest);
         let forwarded = forwarded.expect("the log is complete");
         apply_quarantines(&mut follower, &forwarded);
         assert_eq!(
@@ -308,7 +316,7 @@
             StoreChange::Quarantine(quarantine(1, 2, 6)),
             StoreChange::Quarantine(quarantine(2, 2, 7)),
             StoreChange::Quarantine(quarantine(1, 3, 8)),
-            StoreChange::QuarantineRemoved(PartId(2), Revision(9)),
+            StoreChange::QuarantineRemoved(PartId(2), Revision::new(Era(1), 9)),
         ],
     );
     burst.remove_superseded();
@@ -317,3 +325,25 @@
     apply_quarantines(&mut list, &burst);
     assert_eq!(quarantines(&list), [quarantine(1, 3, 8)]);
 }
+
+#[test]
+fn a_log_reaches_back_to_no_revision_of_an_earlier_era() {
+    let mut log = StoreChangeLog::default();
+    log.append(&changes(40, vec![removed("a", 40)]));
+    log.reset(Revision::new(Era(2), 30));
+    let newest = Revision::new(Era(2), 41);
+    log.append(&StoreChanges {
+        revision: newest,
+        ..changes(41, vec![removed("b", 41)])
+    });
+    for known in [
+        Revision::new(Era(1), 29),
+        Revision::new(Era(1), 41),
+        Revision::new(Era(1), 50),
+        Revision::new(Era(2), 29),
+    ] {
+        assert!(log.since(known, newest).is_none(), "{known}");
+    }
+    let forwarded = log.since(Revision::new(Era(2), 30), newest);
+    assert_eq!(forwarded.expect("complete").changes.len(), 1);
+}
--- a/limpetkeel/tests/table.rs
+++ b/limpetkeel/tests/table.rs
@@ -1,6 +1,6 @@
 //! Tests of the tables: validation, references, revisions and differences.
 
-use limpetkeel::{Declarations, Error, Revision, TableChange, Tables};
+use limpetkeel::{Declarations, Era, Error, Revision, TableChange, Tables};
 use test_case::test_case;
 
 const POOL: &str = "[pools.p]\nkind = \"model\"\n";
@@ -23,7 +23,7 @@
 fn invalid_declarations_are_reported(text: &str, code: &str) {
     let errors = declarations(text).validation_errors();
     assert_eq!(errors.iter().map(Error::code).collect::<Vec<_>>(), [code]);
-    assert!(Tables::try_from((Revision(1), declarations(text))).is_err());
+    assert!(Tables::try_from((Revision::new(Era(1), 1), declarations(text))).is_err());
 }
 
 #[test]
@@ -34,7 +34,7 @@
 #[test]
 fn only_higher_revisions_replace_the_tables() {
     let at = |revision, text: &str| {
-        Tables::try_from((Revision(revision), declarations(text))).expect("tables")
+        Tables::try_from((Revision::new(Era(1), revision), declarations(text))).expect("tables")
     };
     let mut tables = at(2, POOL);
     assert!(!tables.replace_if_newer(at(1, "")));
@@ -43,7 +43,7 @@
     assert!(tables.replace_if_newer(at(3, "")));
     assert_eq!(
         (tables.revision(), tables.pools().count()),
-        (Revision(3), 0)
+        (Revision::new(Era(1), 3), 0)
     );
 }
 
--- a/limpetkeel/tests/upstream_availability.rs
+++ b/limpetkeel/tests/upstream_availability.rs
@@ -4,7 +4,7 @@
 mod registry;
 
 use limpetkeel::{
-    MAX_PAUSE, Millis, Removal, Revision, Timestamp, UpstreamAddress, UpstreamAvailability,
+    Era, MAX_PAUSE, Millis, Removal, Revision, Timestamp, UpstreamAddress, UpstreamAvailability,
     UpstreamProcess, UpstreamRegistry,
 };
 
@@ -91,7 +91,7 @@
     registry.remove(
         Timestamp(1_000),
         &registry::name("a"),
-        Revision(2),
+        Revision::new(Era(1), 2),
         Removal::Certain,
     );
     availability.remove_expired(Timestamp(1_000), &registry);
--- a/limpetkeel/tests/upstream_registry.rs
+++ b/limpetkeel/tests/upstream_registry.rs
@@ -1,7 +1,8 @@
 //! Tests of the upstream registry: revisions, doubtful removals and restarted upstreams.
 
 use limpetkeel::{
-    Millis, Removal, Revision, Timestamp, UpstreamRegistry, UpstreamRegistryEntry, UpstreamState,
+    Era, Millis, Removal, Revision, Timestamp, UpstreamRegistry, UpstreamRegistryEntry,
+    UpstreamState,
 };
 
 fn entry(name: &str, revision: u64) -> UpstreamRegistryEntry {
@@ -13,7 +14,7 @@
         slots: 6,
         state: UpstreamState::Ready,
         start_time: 1,
-        revision: Revision(revision),
+        revision: Revision::new(Era(1), revision),
     }
 }
 
@@ -50,7 +51,12 @@
 fn a_removed_upstream_is_restored_only_by_a_newer_entry() {
     let mut registry = registry(&["a"]);
     let name = "a".try_into().expect("name");
-    registry.remove(Timestamp(0), &name, Revision(3), Removal::Certain);
+    registry.remove(
+        Timestamp(0),
+        &name,
+        Revision::new(Era(1), 3),
+        Removal::Certain,
+    );
     assert!(!registry.upsert(entry("a", 2)));
     assert!(ready_names(&registry).is_empty());
     assert!(registry.upsert(entry("a", 4)));
@@ -62,14 +68,24 @@
     let mut registry = registry(&[]);
     registry.upsert(entry("a", 9));
     let name = "a".try_into().expect("name");
-    registry.remove(Timestamp(0), &name, Revision(8), Removal::Certain);
+    registry.remove(
+        Timestamp(0),
+        &name,
+        Revision::new(Era(1), 8),
+        Removal::Certain,
+    );
     assert_eq!(ready_names(&registry), ["a"]);
 }
 
 #[test]
 fn missing_entries_serve_until_the_end_of_the_grace_period() {
     let mut registry = registry(&["a", "b"]);
-    registry.replace(Timestamp(0), Vec::new(), Revision(5), Removal::Doubtful);
+    registry.replace(
+        Timestamp(0),
+        Vec::new(),
+        Revision::new(Era(1), 5),
+        Removal::Doubtful,
+    );
     assert_eq!(ready_names(&registry), ["a", "b"]);
     registry.remove_expired(Timestamp(2_000));
     assert_eq!(
@@ -88,7 +104,12 @@
 fn a_missing_entry_serves_only_if_no_other_upstream_is_ready() {
     let mut registry = registry(&["a", "b"]);
     let name = "a".try_into().expect("name");
-    registry.remove(Timestamp(0), &name, Revision(5), Removal::Doubtful);
+    registry.remove(
+        Timestamp(0),
+        &name,
+        Revision::new(Era(1), 5),
+        Removal::Doubtful,
+    );
     assert_eq!(ready_names(&registry), ["b"]);
 }
 
@@ -99,7 +120,12 @@
     draining.state = UpstreamState::Draining;
     registry.upsert(draining);
     let name = "a".try_into().expect("name");
-    registry.remove(Timestamp(0), &name, Revision(3), Removal::Doubtful);
+    registry.remove(
+        Timestamp(0),
+        &name,
+        Revision::new(Era(1), 3),
+        Removal::Doubtful,
+    );
     assert!(registry.get(&name).is_none());
 }
 
@@ -107,7 +133,12 @@
 fn a_rewritten_entry_serves_again() {
     let mut registry = registry(&["a"]);
     let name = "a".try_into().expect("name");
-    registry.remove(Timestamp(0), &name, Revision(5), Removal::Doubtful);
+    registry.remove(
+        Timestamp(0),
+        &name,
+        Revision::new(Era(1), 5),
+        Removal::Doubtful,
+    );
     assert!(registry.upsert(entry("a", 7)));
     registry.remove_expired(Timestamp(Millis(60_000).0));
     assert_eq!(ready_names(&registry), ["a"]);
@@ -127,7 +158,12 @@
 fn an_expired_entry_is_restored_only_by_a_newer_one() {
     let mut registry = registry(&["a"]);
     let name = "a".try_into().expect("name");
-    registry.remove(Timestamp(0), &name, Revision(5), Removal::Doubtful);
+    registry.remove(
+        Timestamp(0),
+        &name,
+        Revision::new(Era(1), 5),
+        Removal::Doubtful,
+    );
     registry.remove_expired(Timestamp(3_000));
     assert!(!registry.upsert(entry("a", 1)), "a late response");
     assert!(
@@ -140,7 +176,12 @@
 fn an_older_entry_does_not_restore_a_missing_one() {
     let mut registry = registry(&[]);
     registry.upsert(entry("a", 4));
-    registry.replace(Timestamp(0), Vec::new(), Revision(5), Removal::Doubtful);
+    registry.replace(
+        Timestamp(0),
+        Vec::new(),
+        Revision::new(Era(1), 5),
+        Removal::Doubtful,
+    );
     assert!(!registry.upsert(entry("a", 3)));
     assert!(registry.upsert(entry("a", 4)), "a peer that lists it");
 }
@@ -154,10 +195,83 @@
     }
     for (revision, name) in (2_000..).zip(&names) {
         let name = name.as_str().try_into().expect("name");
-        registry.remove(Timestamp(0), &name, Revision(revision), Removal::Certain);
+        registry.remove(
+            Timestamp(0),
+            &name,
+            Revision::new(Era(1), revision),
+            Removal::Certain,
+        );
     }
     registry.remove_expired(Timestamp(0));
     let (oldest, latest) = (&names[0], &names[1_099]);
     assert!(registry.upsert(entry(oldest, 1)), "forgotten");
     assert!(!registry.upsert(entry(latest, 1_100)), "remembered");
 }
+
+/// Returns the entry of a process in the second era.
+fn restored_entry(name: &str, revision: u64, start_time: u64) -> UpstreamRegistryEntry {
+    UpstreamRegistryEntry {
+        revision: Revision::new(Era(2), revision),
+        start_time,
+        ..entry(name, revision)
+    }
+}
+
+#[test]
+fn an_entry_of_a_later_era_replaces_one_with_a_higher_number() {
+    let mut registry = registry(&["a"]);
+    registry.upsert(entry("a", 47));
+    let mut moved = restored_entry("a", 3, 1);
+    moved.slots = 9;
+    assert!(registry.upsert(moved));
+    let name = "a".try_into().expect("name");
+    assert_eq!(registry.get(&name).map(|entry| entry.slots), Some(9));
+    assert!(!registry.upsert(entry("a", 48)), "a late response");
+    registry.remove(
+        Timestamp(0),
+        &name,
+        Revision::new(Era(1), 49),
+        Removal::Certain,
+    );
+    assert_eq!(ready_names(&registry), ["a"]);
+}
+
+#[test]
+fn a_process_that_has_left_does_not_return_with_an_older_copy() {
+    let mut registry = registry(&["draining", "removed", "expired"]);
+    let mut draining = entry("draining", 5);
+    draining.state = UpstreamState::Draining;
+    registry.upsert(draining);
+    for (text, removal) in [
+        ("removed", Removal::Certain),
+        ("expired", Removal::Doubtful),
+    ] {
+        let name = text.try_into().expect("name");
+        let revision = Revision::new(Era(1), 6);
+        registry.remove(Timestamp(0), &name, revision, removal);
+    }
+    registry.remove_expired(Timestamp(2_500));
+    for name in ["draining", "removed", "expired"] {
+        registry.upsert(restored_entry(name, 4, 1));
+    }
+    assert_eq!(ready_names(&registry), ["expired"]);
+    registry.upsert(restored_entry("removed", 5, 1));
+    assert_eq!(ready_names(&registry), ["expired", "removed"]);
+    registry.upsert(restored_entry("draining", 6, 2));
+    assert_eq!(
+        ready_names(&registry),
+        ["draining", "expired", "removed"],
+        "a new process"
+    );
+}
+
+#[test]
+fn an_older_copy_does_not_bring_back_the_former_process_of_an_upstream() {
+    let mut registry = registry(&[]);
+    let mut current = entry("a", 5);
+    current.start_time = 2;
+    registry.upsert(current);
+    assert!(!registry.upsert(restored_entry("a", 3, 1)));
+    assert_eq!(ready_names(&registry), ["a"]);
+    assert!(registry.upsert(restored_entry("a", 6, 2)));
+}
--- a/limpetkeelctl/src/command.rs
+++ b/limpetkeelctl/src/command.rs
@@ -61,7 +61,7 @@
         let url: Option<String> = args
             .opt_value_from_str("--platform")
             .map_err(|e| usage_error(&e))?;
-        let expected_revision: Option<u64> = args
+        let expected_revision: Option<Revision> = args
             .opt_value_from_str("--expect")
             .map_err(|e| usage_error(&e))?;
         let wait_secs: Option<u64> = args
@@ -85,7 +85,7 @@
         Ok(Invocation {
             platform,
             output,
-            expected_revision: expected_revision.map(Revision),
+            expected_revision,
             command,
         })
     }
--- a/limpetkeelctl/src/error.rs
+++ b/limpetkeelctl/src/error.rs
@@ -75,7 +75,7 @@
 impl From<platform::Error> for Error {
     fn from(error: platform::Error) -> Error {
         match error {
-            platform::Error::Conflict(version) => Error::Conflict(Revision(version)),
+            platform::Error::Conflict(current) => Error::Conflict(current),
             other => Error::Platform(other),
         }
     }
--- a/limpetkeelctl/src/fleet.rs
+++ b/limpetkeelctl/src/fleet.rs
@@ -27,6 +27,7 @@
 #[derive(Debug, serde::Serialize)]
 pub struct SystemStatus {
     /// The revision of the tables in the platform's store.
+    #[serde(flatten)]
     pub revision: Revision,
     /// The instances that the platform lists.
     pub instances: Vec<ListedInstance>,
--- a/limpetkeelctl/src/tables.rs
+++ b/limpetkeelctl/src/tables.rs
@@ -30,6 +30,7 @@
 #[derive(Debug, serde::Serialize)]
 pub struct ChangeResult {
     /// The revision of the tables after the edit; for a plan, the current revision.
+    #[serde(flatten)]
     pub revision: Revision,
     /// The entries that the edit adds, updates or removes.
     pub changes: Vec<TableChange>,
--- a/limpetkeeld/src/front/health.rs
+++ b/limpetkeeld/src/front/health.rs
@@ -49,6 +49,7 @@
     /// The life-cycle state of the instance.
     pub stage: String,
     /// The revision of the tables in force.
+    #[serde(flatten)]
     pub revision: Revision,
     /// The number of upstreams in the platform's list.
     pub known_upstreams: usize,
--- a/limpetkeeld/src/lib.rs
+++ b/limpetkeeld/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod front;
 pub mod gossip;
 pub mod keepers;
+pub mod latest_era;
 pub mod listener;
 pub mod local_state;
 pub mod log;
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -34,8 +34,8 @@
     RequestPlan(PlanRequest),
     /// Reports the state of plans to the planner.
     ReportPlan(PlanReport),
-    /// Requests the snapshot if it is newer than this revision.
-    FetchSnapshot(Revision),
+    /// Requests the snapshot if it is newer than the sender's tables.
+    FetchSnapshot(KnownTables),
     /// Requests the changes after a revision, and waits for one.
     WaitForChanges(ChangesRequest),
 }
@@ -108,11 +108,30 @@
     Unsupported,
 }
 
+/// How new the tables of an instance are.
+///
+/// After the store has gone back to an older copy, an instance that starts may read an older routing
+/// table at the revision at which the others still have a newer one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct KnownTables {
+    /// The revision up to which all changes have been applied.
+    pub revision: Revision,
+    /// The version of the routing table.
+    pub version: u64,
+}
+
+impl KnownTables {
+    /// Returns `true` if these tables have something that `other` lacks.
+    pub fn is_newer_than(self, other: KnownTables) -> bool {
+        self.revision > other.revision || self.version > other.version
+    }
+}
+
 /// A request for the changes after a revision.
 #[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
 pub struct ChangesRequest {
-    /// The revision of the follower's tables.
-    pub after: Revision,
+    /// The follower's tables.
+    pub after: KnownTables,
     /// The time after which the watcher responds without a change.
     pub wait: Millis,
 }
@@ -127,7 +146,7 @@
     Changes(StoreChanges, TableAge),
     /// The complete snapshot, because the watcher no longer has the changes.
     Snapshot(StoreSnapshot, TableAge),
-    /// The watcher does not get responses from the store.
+    /// The watcher does not get responses from the store, or is in an earlier era than the follower.
     StoreUnavailable,
 }
 
--- a/limpetkeeld/src/platform.rs
+++ b/limpetkeeld/src/platform.rs
@@ -1,12 +1,17 @@
 //! The HTTP client for the platform: its key-value store, leases and instance list.
 
-use std::{collections, fmt, net, time};
+use std::{collections, fmt, net, sync, time};
 
 use limpetkeel::{
-    AvailabilityZoneName, Contact, Declarations, FencingNumber, InstanceName, ListedMember,
+    AvailabilityZoneName, Contact, Declarations, Era, FencingNumber, InstanceName, ListedMember,
     Millicores, Millis, PoolName, Revision, UpstreamListEntry, UpstreamName,
 };
 
+use crate::latest_era::LatestEra;
+
+/// The header with the era of the store.
+const ERA_HEADER: &str = "store-era";
+
 /// The key of the tables in the store.
 const TABLES_KEY: &str = "limpetkeel/tables";
 
@@ -23,8 +28,8 @@
     Refused,
     /// The response was lost, so a write may have taken effect.
     ResponseLost,
-    /// The version differs from the expected one; contains the current version.
-    Conflict(u64),
+    /// The revision differs from the expected one; contains the current revision.
+    Conflict(Revision),
     /// The response does not have the expected form.
     Malformed,
 }
@@ -34,7 +39,7 @@
         match self {
             Error::Refused => f.write_str("the platform refused the call"),
             Error::ResponseLost => f.write_str("the platform did not answer"),
-            Error::Conflict(version) => write!(f, "the current version is {version}"),
+            Error::Conflict(current) => write!(f, "the current version is {current}"),
             Error::Malformed => f.write_str("the platform's answer is malformed"),
         }
     }
@@ -45,15 +50,21 @@
 /// Alias for a `Result` with the platform's [`Error`].
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// A value in the store, with its version.
-#[derive(Clone, Debug, serde::Deserialize)]
+/// A value in the store, with its revision.
+#[derive(Clone, Debug)]
 pub struct Entry {
-    /// The number of writes to the key; zero if the key does not exist.
-    pub version: u64,
+    /// The number of writes to the key in the era of the store; zero if the key does not exist.
+    pub revision: Revision,
     /// The value, if the key exists.
     pub value: Option<String>,
 }
 
+#[derive(serde::Deserialize)]
+struct EntryBody {
+    version: u64,
+    value: Option<String>,
+}
+
 #[derive(serde::Serialize)]
 struct AcquireBody<'a> {
     holder: &'a str,
@@ -119,6 +130,7 @@
 pub struct Client {
     url: String,
     http: reqwest::Client,
+    era: sync::Arc<LatestEra>,
 }
 
 impl Client {
@@ -135,6 +147,7 @@
         Ok(Client {
             url: url.to_owned(),
             http,
+            era: sync::Arc::default(),
         })
     }
 
@@ -148,42 +161,89 @@
             .http
             .get(format!("{}/kv/{key}", self.url))
             .timeout(CALL_TIMEOUT);
-        parse_body(send(req).await?).await
+        self.fetch_entry(req).await
     }
 
-    /// Waits until the version of a key exceeds `after`, and returns the value.
+    async fn fetch_entry(&self, req: reqwest::RequestBuilder) -> Result<Entry> {
+        let (res, era) = self.send(req).await?;
+        let body: EntryBody = parse_body(res).await?;
+        Ok(Entry {
+            revision: Revision::new(era, body.version),
+            value: body.value,
+        })
+    }
+
+    /// Sends a request and returns the response and its era if its status is a success.
+    async fn send(&self, req: reqwest::RequestBuilder) -> Result<(reqwest::Response, Era)> {
+        let res = req.send().await.map_err(|e| transport_error(&e))?;
+        let era = self.observe_era(&res);
+        if res.status().is_success() {
+            Ok((res, era))
+        } else {
+            Err(Error::Refused)
+        }
+    }
+
+    fn observe_era(&self, res: &reqwest::Response) -> Era {
+        let header = res.headers().get(ERA_HEADER);
+        self.era
+            .observe(header.and_then(|value| value.to_str().ok()))
+    }
+
+    /// Waits until the revision of a key exceeds `after`, and returns the value.
     ///
-    /// Returns the unchanged value if the platform's time limit for a watch passes first.
+    /// Returns the unchanged value if the platform's time limit for a watch passes first. Reads the
+    /// value if any response reports that the store is in a later era, in which the key may have an
+    /// older revision for as long as nobody writes it.
     ///
     /// # Errors
     ///
     /// Returns an error if the platform does not respond.
-    pub async fn watch(&self, key: &str, after: u64) -> Result<Entry> {
-        let wait = WATCH_TIMEOUT.as_millis();
-        let url = format!("{}/kv/{key}?after={after}&wait_ms={wait}", self.url);
+    pub async fn watch(&self, key: &str, after: Revision) -> Result<Entry> {
+        let (number, wait) = (after.number(), WATCH_TIMEOUT.as_millis());
+        let url = format!("{}/kv/{key}?after={number}&wait_ms={wait}", self.url);
         let req = self.http.get(url).timeout(WATCH_TIMEOUT + CALL_TIMEOUT);
-        parse_body(send(req).await?).await
+        tokio::select! {
+            entry = self.fetch_entry(req) => entry,
+            () = self.era.wait_until_later(after.era()) => self.read(key).await,
+        }
     }
 
-    /// Writes a value if its version is still the expected one, and returns the new version.
+    /// Writes a value if its revision is still the expected one, and returns the new revision.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Conflict`] if another write came first. After [`Error::ResponseLost`], the
-    /// write may have taken effect.
-    pub async fn write(&self, key: &str, expect: u64, value: &str) -> Result<u64> {
+    /// Returns [`Error::Conflict`] if another write came first or the store is in a later era. After
+    /// [`Error::ResponseLost`], the write may have taken effect.
+    pub async fn write(&self, key: &str, expect: Revision, value: &str) -> Result<Revision> {
+        let latest = self.era.get();
+        if expect.era() < latest && expect.number() > 0 {
+            return Err(Error::Conflict(Revision::new(latest, 0)));
+        }
         let url = format!("{}/kv/{key}", self.url);
         let req = self
             .http
             .put(url)
-            .json(&WriteBody { expect, value })
+            .json(&WriteBody {
+                expect: expect.number(),
+                value,
+            })
             .timeout(CALL_TIMEOUT);
         let res = req.send().await.map_err(|e| transport_error(&e))?;
+        let era = self.observe_era(&res);
         match res.status() {
-            status if status.is_success() => Ok(parse_body::<VersionBody>(res).await?.version),
-            reqwest::StatusCode::CONFLICT => Err(Error::Conflict(
-                parse_body::<VersionBody>(res).await?.version,
-            )),
+            // The expected number was that of another value.
+            status if status.is_success() && expect.number() > 0 && expect.era() != era => {
+                Err(Error::ResponseLost)
+            }
+            status if status.is_success() => {
+                let body: VersionBody = parse_body(res).await?;
+                Ok(Revision::new(era, body.version))
+            }
+            reqwest::StatusCode::CONFLICT => {
+                let body: VersionBody = parse_body(res).await?;
+                Err(Error::Conflict(Revision::new(era, body.version)))
+            }
             _ => Err(Error::Refused),
         }
     }
@@ -205,7 +265,7 @@
     ///
     /// Returns an error if the platform does not respond or the value does not decode.
     pub async fn watch_tables(&self, after: Revision) -> Result<(Revision, Declarations)> {
-        decode_tables(self.watch(TABLES_KEY, after.0).await?)
+        decode_tables(self.watch(TABLES_KEY, after).await?)
     }
 
     /// Replaces the tables if their revision is still the expected one.
@@ -221,17 +281,18 @@
         declarations: &Declarations,
     ) -> Result<Revision> {
         let value = serde_json::to_string(declarations).map_err(|_| Error::Malformed)?;
-        match self.write(TABLES_KEY, expect.0, &value).await {
+        match self.write(TABLES_KEY, expect, &value).await {
             Err(Error::ResponseLost) => {
                 let (current, stored) = self.tables().await.map_err(|_| Error::ResponseLost)?;
-                let took_effect = current.0 == expect.0 + 1 && stored == *declarations;
+                let next = Revision::new(expect.era(), expect.number() + 1);
+                let took_effect = current == next && stored == *declarations;
                 if took_effect {
                     Ok(current)
                 } else {
-                    Err(Error::Conflict(current.0))
+                    Err(Error::Conflict(current))
                 }
             }
-            written => written.map(Revision),
+            written => written,
         }
     }
 
@@ -259,6 +320,7 @@
             .send()
             .await
             .map_err(|e| transport_error(&e))?;
+        self.observe_era(&res);
         match res.status() {
             status if status.is_success() => Ok(Some(parse_body::<LeaseBody>(res).await?.fencing)),
             reqwest::StatusCode::CONFLICT => Ok(None),
@@ -276,7 +338,8 @@
             .http
             .get(format!("{}/instances", self.url))
             .timeout(CALL_TIMEOUT);
-        let lines: collections::BTreeMap<String, ListLine> = parse_body(send(req).await?).await?;
+        let lines: collections::BTreeMap<String, ListLine> =
+            parse_body(self.send(req).await?.0).await?;
         let mut list = InstanceList::default();
         for (name, line) in lines {
             let _ = list.add(&name, line);
@@ -325,7 +388,7 @@
         return Ok(Default::default());
     };
     let declarations = serde_json::from_str(&value).map_err(|_| Error::Malformed)?;
-    Ok((Revision(entry.version), declarations))
+    Ok((entry.revision, declarations))
 }
 
 fn transport_error(error: &reqwest::Error) -> Error {
@@ -336,15 +399,6 @@
     }
 }
 
-async fn send(req: reqwest::RequestBuilder) -> Result<reqwest::Response> {
-    let res = req.send().await.map_err(|e| transport_error(&e))?;
-    if res.status().is_success() {
-        Ok(res)
-    } else {
-        Err(Error::Refused)
-    }
-}
-
 async fn parse_body<T: serde::de::DeserializeOwned>(res: reqwest::Response) -> Result<T> {
     let body = res.bytes().await.map_err(|_| Error::ResponseLost)?;
     serde_json::from_slice(&body).map_err(|_| Error::Malformed)
--- a/limpetkeeld/src/relay/jobs.rs
+++ b/limpetkeeld/src/relay/jobs.rs
@@ -1,6 +1,6 @@
 //! The job queue of the worker pool.
 
-use limpetkeel::{Plan, PlanRequest, StoreChanges, StoreSnapshot};
+use limpetkeel::{Plan, PlanRequest, Revision, StoreChanges, StoreSnapshot};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::peer::message;
@@ -46,6 +46,16 @@
     Changes(StoreChanges),
 }
 
+impl TableUpdate {
+    /// Returns the revision of the snapshot or of the last change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            TableUpdate::Snapshot(snapshot, _) => snapshot.revision,
+            TableUpdate::Changes(changes) => changes.revision,
+        }
+    }
+}
+
 /// The sending half of the job queue.
 #[derive(Clone, Debug)]
 pub struct Queue {
--- a/limpetkeeld/src/relay/peer_handler.rs
+++ b/limpetkeeld/src/relay/peer_handler.rs
@@ -35,8 +35,8 @@
                 planning::submit_plan_report(&self.shared, report);
                 message::Response::Accepted
             }
-            message::Request::FetchSnapshot(revision) => {
-                message::Response::Snapshot(store_updates::snapshot_after(&self.shared, revision))
+            message::Request::FetchSnapshot(known) => {
+                message::Response::Snapshot(store_updates::snapshot_after(&self.shared, known))
             }
             message::Request::WaitForChanges(req) => {
                 message::Response::Changes(store_watch::wait_for_changes(&self.shared, req).await)
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use limpetkeel::{
-    AnnouncedLimit, Contact, Millis, PartId, Quarantine, RequestSize, Revision, StoreChange,
+    AnnouncedLimit, Contact, Era, Millis, PartId, Quarantine, RequestSize, Revision, StoreChange,
     Tokens, UpstreamName, WorkspaceName,
 };
 
@@ -189,9 +189,10 @@
     Refused(u16),
     /// No response arrived. A write may have taken effect.
     NoResponse,
-    /// The store no longer has the changes after the requested revision.
+    /// The store no longer has the changes after the requested revision, or has gone back to an older
+    /// copy.
     HistoryLost,
-    /// The lease has expired.
+    /// The lease has expired, or is of an era that has ended.
     Expired,
     /// The response could not be parsed.
     Malformed,
@@ -221,9 +222,15 @@
 
 impl std::error::Error for StoreError {}
 
-/// The ID of the lease under which an instance is registered.
+/// The ID of the lease under which an instance is registered. In another era, the number may belong
+/// to another lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// The era in which the lease was granted.
+    pub era: Era,
+    /// The number of the lease.
+    pub number: u64,
+}
 
 /// A client of the platform's store.
 pub trait Store: Send + Sync + 'static {
@@ -231,6 +238,10 @@
     fn read(&self) -> BoxFuture<'_, Result<limpetkeel::StoreSnapshot, StoreError>>;
 
     /// Waits for changes after a revision, up to a limit set by the implementation.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::HistoryLost`] also if the store is in another era than the revision.
     fn watch(&self, after: Revision) -> BoxFuture<'_, Result<StoreUpdate, StoreError>>;
 
     /// Checks that the store responds. This call is cheap and may return an old revision.
--- a/limpetkeeld/src/relay/register.rs
+++ b/limpetkeeld/src/relay/register.rs
@@ -34,6 +34,10 @@
         };
         tokio::select! {
             () = tokio::time::sleep(delay) => {}
+            () = shared.era_changed.notified() => {
+                let jitter = rand::random_range(0..RETRY_JITTER_MS);
+                tokio::time::sleep(time::Duration::from_millis(jitter)).await;
+            }
             () = shared.draining.cancelled() => {}
         }
     }
@@ -55,7 +59,8 @@
     shared: &shared::Shared,
     lease: &mut Option<port::LeaseId>,
 ) -> Result<(), port::StoreError> {
-    if let Some(current) = *lease {
+    let era = shared.tables.lock().revision.era();
+    if let Some(current) = lease.filter(|lease| lease.era >= era) {
         match store_watch::record_store_call(shared, "renew", shared.store.renew(current).await) {
             Err(port::StoreError::Expired) => *lease = None,
             renewed => return renewed,
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -110,6 +110,8 @@
     pub planner_changed: Notify,
     /// Notified when a quarantine update was queued for the store.
     pub quarantine_queued: Notify,
+    /// Notified when the tables have changed to a later era of the store.
+    pub era_changed: Notify,
     /// Cancelled when the instance starts to drain.
     pub draining: CancellationToken,
     /// Cancelled when the instance stops accepting connections.
@@ -166,6 +168,7 @@
             changed: Notify::new(),
             planner_changed: Notify::new(),
             quarantine_queued: Notify::new(),
+            era_changed: Notify::new(),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
             tables: OrderedMutex::new(LockLevel::Tables, Tables::new(&settings.instance)),
--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -3,29 +3,49 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    PartId, QuarantineList, QuarantineListEntry, Removal, Revision, StoreChange, StoreChanges,
-    StoreSnapshot, Timestamp,
+    Millis, PartId, QuarantineList, QuarantineListEntry, Removal, Revision, StoreChange,
+    StoreChanges, StoreSnapshot, Timestamp,
 };
 
-use crate::relay::{jobs, shared};
+use crate::{
+    peer::message,
+    relay::{jobs, shared},
+};
+
+/// Time after a failure or a restore of the store during which deleted entries are treated as
+/// doubtful: their leases may have expired while their upstreams were still running. Covers three
+/// heartbeats and the time to write the entries again.
+pub const DOUBTFUL_PERIOD: Millis = Millis(6_000);
 
-/// Returns the complete snapshot if its revision is newer than `revision`.
+/// Returns how new the tables are.
+pub fn known_tables(tables: &shared::Tables) -> message::KnownTables {
+    message::KnownTables {
+        revision: tables.revision,
+        version: tables.ingress.version(),
+    }
+}
+
+/// Returns the complete snapshot if it is newer than `known`.
 pub fn snapshot_after(
     shared: &shared::Shared,
-    revision: limpetkeel::Revision,
+    known: message::KnownTables,
 ) -> Option<StoreSnapshot> {
     let tables = shared.tables.lock();
-    if tables.revision <= revision {
-        return None;
-    }
-    Some(full_snapshot(shared, &tables))
+    let is_newer = known_tables(&tables).is_newer_than(known);
+    is_newer.then(|| full_snapshot(shared, &tables, known))
 }
 
-/// Returns the complete snapshot of the shared tables.
-pub fn full_snapshot(shared: &shared::Shared, tables: &shared::Tables) -> StoreSnapshot {
+/// Returns the complete snapshot of the shared tables, without the routing table if `known` includes
+/// it.
+pub fn full_snapshot(
+    shared: &shared::Shared,
+    tables: &shared::Tables,
+    known: message::KnownTables,
+) -> StoreSnapshot {
+    let declaration = tables.ingress.declaration();
     StoreSnapshot {
         revision: tables.revision,
-        ingress: tables.ingress.declaration().cloned(),
+        ingress: declaration.filter(|d| d.version > known.version).cloned(),
         upstreams: tables.upstreams.entries().cloned().collect(),
         instances: shared.membership.lock().instances.contacts(),
         quarantines: tables.quarantines.stored_entries().copied().collect(),
@@ -43,15 +63,33 @@
 }
 
 /// Replaces the shared tables with a snapshot, unless the snapshot's revision is older than theirs.
+/// The routing table has an order of its own: its version, which the store's revisions don't affect.
 ///
-/// Upstreams missing from a peer's snapshot are always removed as [`Removal::Doubtful`].
+/// What is missing from the snapshot of a later era may have been lost with the newest contents of
+/// the store, so that its removal is doubtful for a while. Upstreams missing from a peer's snapshot are always removed as [`Removal::Doubtful`].
 fn apply_snapshot(shared: &shared::Shared, snapshot: StoreSnapshot, source: jobs::SnapshotSource) {
     let now = shared.clock.now();
     let mut tables = shared.tables.lock();
     if snapshot.revision < tables.revision {
         log_outdated("snapshot", snapshot.revision, &tables);
+        if let Some(declaration) = snapshot.ingress {
+            apply_ingress(&mut tables, declaration);
+        }
         return;
     }
+    let begins_era =
+        tables.revision != Revision::default() && tables.revision.era() < snapshot.revision.era();
+    if begins_era {
+        tables.doubtful_until = tables.doubtful_until.max(now.after(DOUBTFUL_PERIOD));
+        tracing::warn!(
+            event = "store_restored",
+            known = %tables.revision,
+            revision = %snapshot.revision,
+        );
+    }
+    if tables.revision.era() < snapshot.revision.era() {
+        shared.era_changed.notify_one();
+    }
     for key in &snapshot.unreadable {
         record_unreadable(shared, key);
     }
@@ -60,7 +98,7 @@
         jobs::SnapshotSource::Peer => Removal::Doubtful,
     };
     let mut membership = shared.membership.lock();
-    if tables.revision == Revision::default() {
+    if begins_era || tables.revision == Revision::default() {
         tables.change_log.reset(snapshot.revision);
     } else {
         let changes = snapshot.changes_from(
@@ -81,7 +119,7 @@
     log_quarantine_changes(&tables.quarantines, &snapshot.quarantines);
     tables
         .quarantines
-        .replace(snapshot.quarantines, snapshot.revision);
+        .replace(now, snapshot.quarantines, snapshot.revision);
     tables.revision = snapshot.revision;
     tracing::info!(
         event = "catalog_adopted",
@@ -91,15 +129,18 @@
         upstreams = tables.upstreams.entries().count(),
         instances = snapshot.instances.len(),
     );
-    membership.instances.replace(snapshot.instances);
+    membership
+        .instances
+        .replace(now, snapshot.instances, removal);
     go_live_if_ready(&tables, &mut membership);
 }
 
-/// Applies changes in order, unless the tables already include their revision.
+/// Applies changes in order, unless the tables already include their revision or are of another era.
 fn apply_changes(shared: &shared::Shared, changes: StoreChanges) {
     let now = shared.clock.now();
     let mut tables = shared.tables.lock();
-    if changes.revision <= tables.revision {
+    let is_other_era = changes.revision.era() != tables.revision.era();
+    if is_other_era || changes.revision <= tables.revision {
         if !changes.changes.is_empty() {
             log_outdated("changes", changes.revision, &tables);
         }
@@ -139,7 +180,10 @@
             tables.upstreams.remove(now, &name, revision, removal);
         }
         StoreChange::Instance(contact) => shared.membership.lock().instances.insert(contact),
-        StoreChange::InstanceRemoved(name) => shared.membership.lock().instances.remove(&name),
+        StoreChange::InstanceRemoved(name) => {
+            let mut membership = shared.membership.lock();
+            membership.instances.remove(now, &name, removal);
+        }
         StoreChange::Quarantine(entry) => {
             log_listed(entry);
             tables.quarantines.insert(entry);
@@ -222,9 +266,9 @@
 
 /// Moves the local instance from joining to live once it has a routing table and a ready upstream.
 fn go_live_if_ready(tables: &shared::Tables, membership: &mut shared::Membership) {
-    let version = limpetkeel::Revision(tables.ingress.version());
+    let has_table = tables.ingress.version() != 0;
     let has_ready_upstream = tables.upstreams.has_ready_upstream();
     membership
         .local_state
-        .transition(|state| state.go_live(version, has_ready_upstream));
+        .transition(|state| state.go_live(has_table, has_ready_upstream));
 }
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -8,7 +8,7 @@
 
 use std::{sync, time};
 
-use limpetkeel::{Contact, Millis, StoreChanges, StoreSource};
+use limpetkeel::{Contact, Era, Millis, StoreChange, StoreChanges, StoreSource};
 
 use crate::{
     peer::{self, message},
@@ -36,14 +36,12 @@
 /// into the bound for a change to take effect. [`run_expiry`] uses the same interval.
 const PEER_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
+/// Number of peers whose tables an instance that starts compares with its own, until one responds.
+const MAX_COMPARISONS: u32 = 10;
+
 /// Timeout of a snapshot request to a peer.
 const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
-/// Time after a store failure during which deleted entries are treated as doubtful: their leases
-/// may have expired while their upstreams were still running. Covers three heartbeats and the time
-/// to write the entries again.
-const DOUBTFUL_PERIOD: Millis = Millis(6_000);
-
 /// The reason for a failure to receive changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Failure {
@@ -94,9 +92,10 @@
         match (result, source) {
             (Ok(Received { update, age }), _) => {
                 retry_delay = MIN_RETRY_DELAY;
+                let era = update.revision().era();
                 shared.jobs.update_tables(update).await;
                 if let Some(age) = age {
-                    record_current(&shared, age);
+                    record_current(&shared, era, age);
                 }
             }
             (Err(Failure::Store(port::StoreError::HistoryLost)), _) => {
@@ -167,7 +166,8 @@
 }
 
 /// Probes the store at regular intervals during a watch for changes after a revision. Returns the
-/// error of the first failed probe, or `Ok` if the watch has missed a change.
+/// error of the first failed probe, or `Ok` if the watch has missed a change. A store that has gone
+/// back to an older copy counts as one without the history.
 ///
 /// A pending watch reveals neither that the store is unreachable nor that its own connection has
 /// gone silent, and followers rely on this instance for changes.
@@ -179,8 +179,10 @@
     loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
         let newest = record_store_call(shared, "probe", shared.store.probe().await)?;
-        if newest <= after {
-            record_current(shared, Millis::ZERO);
+        if newest.era() > after.era() {
+            return Err(port::StoreError::HistoryLost);
+        } else if newest <= after {
+            record_current(shared, newest.era(), Millis::ZERO);
         } else if missed {
             tracing::info!(event = "watch_silent", revision = %after, newest = %newest);
             return Ok(());
@@ -198,7 +200,7 @@
     wait: Millis,
     timeout: Millis,
 ) -> Result<Received, Failure> {
-    let after = shared.tables.lock().revision;
+    let after = store_updates::known_tables(&shared.tables.lock());
     let req = message::Request::WaitForChanges(message::ChangesRequest { after, wait });
     let timeout = time::Duration::from_millis(timeout.0);
     let response = shared.peers.call(watcher.address, &req, timeout).await;
@@ -233,25 +235,44 @@
             return message::ChangesResponse::StoreUnavailable;
         }
         let expired = tokio::time::Instant::now() >= deadline;
-        if expired || shared.tables.lock().revision > req.after {
+        let known = store_updates::known_tables(&shared.tables.lock());
+        if expired || known.is_newer_than(req.after) {
             break;
         }
         // The next iteration checks the deadline.
         let _ = tokio::time::timeout_at(deadline, changed).await;
     }
     let tables = shared.tables.lock();
-    let Some(age) = tables.follower.age(shared.clock.now()) else {
+    let is_behind = tables.revision.era() < req.after.revision.era();
+    let age = tables.follower.age(shared.clock.now());
+    let Some(age) = age.filter(|_| !is_behind) else {
         return message::ChangesResponse::StoreUnavailable;
     };
-    match tables.change_log.since(req.after, tables.revision) {
+    let changes = tables.change_log.since(req.after.revision, tables.revision);
+    match changes.filter(|changes| includes_table(changes, &tables, req.after)) {
         Some(changes) => message::ChangesResponse::Changes(changes, age),
         None => {
-            let snapshot = store_updates::full_snapshot(shared, &tables);
+            let snapshot = store_updates::full_snapshot(shared, &tables, req.after);
             message::ChangesResponse::Snapshot(snapshot, age)
         }
     }
 }
 
+/// Returns `true` if an instance that has `known` and applies the changes has the routing table in
+/// force here.
+fn includes_table(
+    changes: &StoreChanges,
+    tables: &shared::Tables,
+    known: message::KnownTables,
+) -> bool {
+    let version = tables.ingress.version();
+    let is_current = |change: &StoreChange| match change {
+        StoreChange::Ingress(declaration) => declaration.version >= version,
+        _ => false,
+    };
+    known.version >= version || changes.changes.iter().any(|(change, _)| is_current(change))
+}
+
 /// Counts a store call in the metrics and returns its result unchanged.
 pub fn record_store_call<T>(
     shared: &shared::Shared,
@@ -264,10 +285,14 @@
     result
 }
 
-/// Records that the tables were current `age` ago, and that changes are received again.
-fn record_current(shared: &shared::Shared, age: Millis) {
+/// Records that the tables were current `age` ago, and that changes are received again, unless they
+/// are of another era than the source.
+fn record_current(shared: &shared::Shared, era: Era, age: Millis) {
     let now = shared.clock.now();
     let mut tables = shared.tables.lock();
+    if tables.revision.era() != era {
+        return;
+    }
     tables.follower.record_current(now, age);
     if let Some(since) = tables.disconnected_since.take() {
         tracing::info!(event = "store_regained", after_ms = now.since(since).0);
@@ -291,7 +316,7 @@
 fn record_history_lost(shared: &shared::Shared) {
     let now = shared.clock.now();
     let mut tables = shared.tables.lock();
-    tables.doubtful_until = now.after(DOUBTFUL_PERIOD);
+    tables.doubtful_until = now.after(store_updates::DOUBTFUL_PERIOD);
     tables.follower.record_history_lost();
     tracing::info!(event = "store_history_lost", revision = %tables.revision);
 }
@@ -301,7 +326,7 @@
 fn record_failure(shared: &shared::Shared, failure: Failure) {
     let now = shared.clock.now();
     let mut tables = shared.tables.lock();
-    tables.doubtful_until = now.after(DOUBTFUL_PERIOD);
+    tables.doubtful_until = now.after(store_updates::DOUBTFUL_PERIOD);
     if tables.disconnected_since.is_none() {
         tables.disconnected_since = Some(now);
         let reason = failure.code();
@@ -313,25 +338,35 @@
 
 /// Requests snapshots from peers while the store is unreachable or before the first routing table
 /// arrives, until the process ends.
+///
+/// One more response is requested then, since a store that was restored from an older copy may hold
+/// an older table than the peers.
 pub async fn run_peer_fallback(shared: sync::Arc<shared::Shared>) {
+    let mut comparisons = MAX_COMPARISONS;
     loop {
         tokio::time::sleep(PEER_INTERVAL).await;
-        let (needs_snapshot, revision) = {
+        let (needs_snapshot, known) = {
             let tables = shared.tables.lock();
             let starting = tables.ingress.version() == 0;
             (
                 tables.disconnected_since.is_some() || starting,
-                tables.revision,
+                store_updates::known_tables(&tables),
             )
         };
         if needs_snapshot {
-            request_snapshot(&shared, revision).await;
+            request_snapshot(&shared, known).await;
+        } else if comparisons > 0 {
+            comparisons -= 1;
+            if request_snapshot(&shared, known).await {
+                comparisons = 0;
+            }
         }
     }
 }
 
-/// Requests a newer snapshot from a random peer, or from a seed if no peer is known.
-async fn request_snapshot(shared: &sync::Arc<shared::Shared>, revision: limpetkeel::Revision) {
+/// Requests a newer snapshot from a random peer, or from a seed if no peer is known. Returns `true`
+/// if it responds.
+async fn request_snapshot(shared: &sync::Arc<shared::Shared>, known: message::KnownTables) -> bool {
     let now = shared.clock.now();
     let peer = shared
         .membership
@@ -343,18 +378,19 @@
         None => {
             let seeds = &shared.settings.seeds;
             let Some(seed) = seeds.get(rand::random_range(0..seeds.len().max(1))) else {
-                return;
+                return false;
             };
             *seed
         }
     };
-    let req = message::Request::FetchSnapshot(revision);
+    let req = message::Request::FetchSnapshot(known);
     match shared.peers.call(address, &req, PEER_TIMEOUT).await {
         Ok(message::Response::Snapshot(Some(snapshot))) => {
             let update = jobs::TableUpdate::Snapshot(snapshot, jobs::SnapshotSource::Peer);
             shared.jobs.update_tables(update).await;
+            true
         }
-        Ok(_) => {}
+        Ok(_) => true,
         Err(_) => {
             if let Some(peer) = peer {
                 shared
@@ -363,6 +399,7 @@
                     .instances
                     .record_failure(now, &peer.name);
             }
+            false
         }
     }
 }
@@ -374,6 +411,8 @@
         let now = shared.clock.now();
         let mut tables = shared.tables.lock();
         tables.upstreams.remove_expired(now);
+        tables.quarantines.remove_expired(now);
+        shared.membership.lock().instances.remove_expired(now);
         let mut availability = shared.availability.lock();
         availability.remove_expired(now, &tables.upstreams);
     }
--- a/limpetkeeld/src/run_once.rs
+++ b/limpetkeeld/src/run_once.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, sync};
 
-use limpetkeel::{Error, RecordUpdate, RunOnceShard, UpdateResult};
+use limpetkeel::{Error, RecordUpdate, Revision, RunOnceShard, UpdateResult};
 use tokio::{sync::oneshot, time};
 
 use crate::{clock, peer::message, platform, shared};
@@ -36,8 +36,8 @@
 struct Batch {
     pending: Vec<PendingUpdate>,
     writing: bool,
-    /// The version and content of the shard as last read or written.
-    cached: Option<(u64, RunOnceShard)>,
+    /// The revision and content of the shard as last read or written.
+    cached: Option<(Revision, RunOnceShard)>,
 }
 
 /// The batches of the shards that this instance writes.
@@ -145,13 +145,13 @@
     }
 }
 
-type WriteResult = (Vec<UpdateResult>, (u64, RunOnceShard));
+type WriteResult = (Vec<UpdateResult>, (Revision, RunOnceShard));
 
 async fn write_with_retries(
     shared: &shared::Shared,
     number: u32,
     updates: &[RecordUpdate],
-    mut cached: Option<(u64, RunOnceShard)>,
+    mut cached: Option<(Revision, RunOnceShard)>,
 ) -> platform::Result<WriteResult> {
     let mut last_error = platform::Error::ResponseLost;
     for _ in 0..MAX_WRITE_ATTEMPTS {
@@ -175,10 +175,10 @@
     shared: &shared::Shared,
     number: u32,
     updates: &[RecordUpdate],
-    cached: Option<(u64, RunOnceShard)>,
+    cached: Option<(Revision, RunOnceShard)>,
 ) -> platform::Result<WriteResult> {
     let key = format!("limpetkeel/run-once/{number}");
-    let (version, before) = match cached {
+    let (revision, before) = match cached {
         Some(cached) => cached,
         None => {
             let read = shared
@@ -195,18 +195,18 @@
         .map(|update| shard.apply(now, update))
         .collect();
     if shard == before {
-        return Ok((applied, (version, shard)));
+        return Ok((applied, (revision, shard)));
     }
     let value = serde_json::to_string(&shard).map_err(|_| platform::Error::Malformed)?;
-    let written = shared.platform.write(&key, version, &value).await;
-    let version = shared.metrics.platform_call("write", written)?;
-    Ok((applied, (version, shard)))
+    let written = shared.platform.write(&key, revision, &value).await;
+    let revision = shared.metrics.platform_call("write", written)?;
+    Ok((applied, (revision, shard)))
 }
 
-fn decode(entry: platform::Entry) -> platform::Result<(u64, RunOnceShard)> {
+fn decode(entry: platform::Entry) -> platform::Result<(Revision, RunOnceShard)> {
     let Some(value) = entry.value else {
-        return Ok((entry.version, RunOnceShard::default()));
+        return Ok((entry.revision, RunOnceShard::default()));
     };
     let shard = serde_json::from_str(&value).map_err(|_| platform::Error::Malformed)?;
-    Ok((entry.version, shard))
+    Ok((entry.revision, shard))
 }
--- a/limpetkeeld/src/tables.rs
+++ b/limpetkeeld/src/tables.rs
@@ -43,7 +43,7 @@
     let current = in_force.tables.revision();
     update_local_state(shared, &in_force);
     drop(in_force);
-    shared.metrics.table_revision.set(current.0 as i64);
+    shared.metrics.table_revision.set(current.number() as i64);
     if replaced {
         tracing::info!(event = "tables_in_force", revision = %current);
         tokio::spawn(announce(shared.clone(), current));
@@ -60,7 +60,7 @@
         .membership
         .lock()
         .local_state
-        .transition(|state| state.go_live(revision, known));
+        .transition(|state| state.go_live(revision != Revision::default(), known));
 }
 
 /// Returns the tables and upstreams if they are newer than the revision of a peer.
@@ -156,7 +156,12 @@
                 shared.jobs.submit(worker::Job::ApplyTables(snapshot)).await;
                 wait_until_in_force(&shared, revision).await;
             }
-            Ok(_) if local_revision == Revision::default() => time::sleep(RETRY_DELAY).await,
+            Ok((revision, _))
+                if local_revision == Revision::default()
+                    || revision.era() != local_revision.era() =>
+            {
+                time::sleep(RETRY_DELAY).await
+            }
             Ok(_) => {}
             Err(e) => {
                 tracing::warn!(event = "watch_failed", error = %e);
--- a/limpetkeeld/tests/peer.rs
+++ b/limpetkeeld/tests/peer.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use limpetkeel::{Contact, Digest, Heartbeat, Revision};
+use limpetkeel::{Contact, Digest, Era, Heartbeat, Revision};
 use limpetkeeld::{
     metrics,
     peer::{self, client, message, server},
@@ -58,7 +58,7 @@
             processor: limpetkeel::Millicores::ZERO,
         },
         digests: (0..members).map(digest).collect(),
-        revision: Revision(3),
+        revision: Revision::new(Era(1), 3),
     })
 }
 
@@ -83,7 +83,10 @@
     let message::Response::Gossip(reply) = response else {
         panic!("{response:?}")
     };
-    assert_eq!((reply.digests.len(), reply.revision), (100, Revision(3)));
+    assert_eq!(
+        (reply.digests.len(), reply.revision),
+        (100, Revision::new(Era(1), 3))
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/limpetkeeld/tests/settings.rs
+++ b/limpetkeeld/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path, process};
 
-use limpetkeel::{Declarations, Revision, Tables};
+use limpetkeel::{Declarations, Era, Revision, Tables};
 use limpetkeeld::settings::{Error, Settings};
 use test_case::test_case;
 
@@ -62,7 +62,7 @@
     Settings::read(&example(&format!("{deployment}/daemon.toml"))).expect("settings");
     let tables = fs::read_to_string(example(&format!("{deployment}/tables.toml"))).expect("file");
     let declarations: Declarations = toml::from_str(&tables).expect("declarations");
-    Tables::try_from((Revision(1), declarations)).expect("tables");
+    Tables::try_from((Revision::new(Era(1), 1), declarations)).expect("tables");
 }
 
 #[test]
--- a/standins/src/capacity/decisions.rs
+++ b/standins/src/capacity/decisions.rs
@@ -3,9 +3,9 @@
 use std::{fs, time};
 
 use limpetkeel::{
-    Capacity, Decision, Declarations, Keeper, LoadReport, Millis, OutputUsage, PlacementRequest,
-    Rank, RequestId, RequestSize, Revision, Tables, Timestamp, Tokens, TokensPerSecond,
-    UpstreamName,
+    Capacity, Decision, Declarations, Era, Keeper, LoadReport, Millis, OutputUsage,
+    PlacementRequest, Rank, RequestId, RequestSize, Revision, Tables, Timestamp, Tokens,
+    TokensPerSecond, UpstreamName,
 };
 
 /// The number of placements to time.
@@ -26,7 +26,7 @@
 
 fn new_keeper(upstreams: usize) -> Option<Keeper> {
     let declarations: Declarations = toml::from_str("[pools.p]\nkind = \"model\"\n").ok()?;
-    let tables = Tables::try_from((Revision(1), declarations)).ok()?;
+    let tables = Tables::try_from((Revision::new(Era::default(), 1), declarations)).ok()?;
     let mut keeper = Keeper::new(tables.pools().next()?);
     let names = (0..upstreams).map(|index| UpstreamName::try_from(format!("u{index}")).ok());
     let names: Vec<_> = names.collect::<Option<_>>()?;
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -233,6 +233,17 @@
         Ok(())
     }
 
+    /// Kills one daemon and starts it again with an empty state, at other addresses. Does not wait
+    /// until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon cannot be started.
+    pub fn restart_daemon(&mut self, daemon_index: usize) -> deployment::Result<()> {
+        self.daemons[daemon_index] = self.start_daemon(daemon_index)?;
+        Ok(())
+    }
+
     /// Writes the operator's table to the store.
     ///
     /// # Errors
--- a/standins/src/deployment/store.rs
+++ b/standins/src/deployment/store.rs
@@ -22,15 +22,26 @@
     Hang,
 }
 
-#[derive(Debug)]
+/// What the store sends as its era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EraHeader {
+    /// The era.
+    Sent,
+    /// No header.
+    Missing,
+    /// A value that is not a number.
+    Malformed,
+}
+
+#[derive(Clone, Debug)]
 struct Lease {
     expires_at: time::Instant,
     ttl: time::Duration,
 }
 
-/// The contents of the store and the state of its leases.
-#[derive(Debug)]
-struct State {
+/// A copy of what the store loses when it is restored from it.
+#[derive(Clone, Debug)]
+pub struct Contents {
     items: collections::BTreeMap<String, wire::Item>,
     /// The changes after `compacted_revision`, oldest first.
     history: Vec<wire::Item>,
@@ -39,6 +50,15 @@
     revision: u64,
     leases: collections::BTreeMap<u64, Lease>,
     next_lease: u64,
+}
+
+/// The contents of the store and how it behaves.
+#[derive(Debug)]
+struct State {
+    contents: Contents,
+    /// The number of times that the contents were restored, plus one.
+    era: u64,
+    era_header: EraHeader,
     /// The behavior at each address.
     response_modes: Vec<ResponseMode>,
     /// The number of received calls.
@@ -49,7 +69,7 @@
     malformed_items: Vec<Box<serde_json::value::RawValue>>,
 }
 
-impl State {
+impl Contents {
     fn write(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
         let created = self.items.get(key).map_or(self.revision, |i| i.create_rev);
@@ -142,13 +162,18 @@
             .iter()
             .map(|listener| listener.local_addr())
             .collect();
-        let state = State {
+        let contents = Contents {
             items: collections::BTreeMap::new(),
             history: Vec::new(),
             compacted_revision: 0,
             revision: 1,
             leases: collections::BTreeMap::new(),
             next_lease: 1,
+        };
+        let state = State {
+            contents,
+            era: 1,
+            era_header: EraHeader::Sent,
             response_modes: vec![ResponseMode::Normal; address_count],
             calls: 0,
             page_size: DEFAULT_PAGE_SIZE,
@@ -184,9 +209,9 @@
     async fn run_lease_expiry(self) {
         loop {
             tokio::time::sleep(EXPIRY_INTERVAL).await;
-            let before = self.state.lock().revision;
-            self.state.lock().revoke_expired_leases();
-            if self.state.lock().revision != before {
+            let before = self.state.lock().contents.revision;
+            self.state.lock().contents.revoke_expired_leases();
+            if self.state.lock().contents.revision != before {
                 self.changed.notify_waiters();
             }
         }
@@ -208,8 +233,8 @@
     pub fn put(&self, key: &str, value: &[u8]) -> u64 {
         let text = base64::engine::general_purpose::STANDARD.encode(value);
         let mut state = self.state.lock();
-        state.write(key, text, 0);
-        let revision = state.revision;
+        state.contents.write(key, text, 0);
+        let revision = state.contents.revision;
         drop(state);
         self.changed.notify_waiters();
         revision
@@ -232,23 +257,48 @@
 
     /// Deletes a key.
     pub fn delete(&self, key: &str) {
-        self.state.lock().delete(key);
+        self.state.lock().contents.delete(key);
         self.changed.notify_waiters();
     }
 
     /// Compacts the history, so that watches from older revisions fail with status 410.
     pub fn compact(&self) {
         let mut state = self.state.lock();
-        state.compacted_revision = state.revision;
-        state.history.clear();
+        let contents = &mut state.contents;
+        contents.compacted_revision = contents.revision;
+        contents.history.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> Contents {
+        self.state.lock().contents.clone()
+    }
+
+    /// Goes back to a copy of the contents, in the next era. Revisions and leases are numbered from
+    /// those of the copy.
+    pub fn restore(&self, contents: &Contents) {
+        let mut state = self.state.lock();
+        state.contents = contents.clone();
+        state.era += 1;
         drop(state);
         self.changed.notify_waiters();
     }
 
+    /// Sets what the store sends as its era.
+    pub fn set_era_header(&self, header: EraHeader) {
+        self.state.lock().era_header = header;
+    }
+
     /// Returns the keys that start with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.lock();
-        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        let keys = state
+            .contents
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix));
         keys.cloned().collect()
     }
 
@@ -258,6 +308,22 @@
     }
 
     async fn handle(&self, req: http::Request<Incoming>, index: usize) -> Response {
+        let mut response = self.execute(req, index).await;
+        let value = {
+            let state = self.state.lock();
+            match state.era_header {
+                EraHeader::Sent => Some(state.era.to_string()),
+                EraHeader::Missing => None,
+                EraHeader::Malformed => Some("first".to_owned()),
+            }
+        };
+        if let Some(value) = value.and_then(|value| value.parse().ok()) {
+            response.headers_mut().insert(names::STORE_ERA, value);
+        }
+        response
+    }
+
+    async fn execute(&self, req: http::Request<Incoming>, index: usize) -> Response {
         let mode = {
             let mut state = self.state.lock();
             state.calls += 1;
@@ -289,7 +355,7 @@
             return self.renew_lease(id);
         }
         if let Some(id) = parse_lease_id(&path, names::END_LEASE_PATH) {
-            let existed = self.state.lock().revoke_lease(id);
+            let existed = self.state.lock().contents.revoke_lease(id);
             self.changed.notify_waiters();
             return status_response(if existed { 200 } else { 404 });
         }
@@ -300,7 +366,7 @@
         let state = self.state.lock();
         let prefix = query.get("prefix").map_or("", String::as_str);
         let after = query.get("after").map_or("", String::as_str);
-        let mut remaining = state.items.values().filter(|item| {
+        let mut remaining = state.contents.items.values().filter(|item| {
             item.key.starts_with(prefix) && (after.is_empty() || item.key.as_str() > after)
         });
         let mut items = Vec::new();
@@ -313,7 +379,7 @@
         json_response(&wire::ReadResponse {
             items,
             has_more: remaining.next().is_some(),
-            store_revision: state.revision,
+            store_revision: state.contents.revision,
         })
     }
 
@@ -332,10 +398,11 @@
                     ResponseMode::Refuse => return status_response(503),
                     ResponseMode::Hang => break,
                 }
-                if after < state.compacted_revision {
+                let contents = &state.contents;
+                if after < contents.compacted_revision || after > contents.revision {
                     return status_response(410);
                 }
-                let events: Vec<_> = state
+                let events: Vec<_> = contents
                     .history
                     .iter()
                     .filter(|item| item.revision > after && item.key.starts_with(prefix))
@@ -343,7 +410,7 @@
                     .map(wire::ReceivedItem::Readable)
                     .collect();
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
-                    let store_revision = state.revision;
+                    let store_revision = contents.revision;
                     return json_response(&wire::WatchResponse {
                         events,
                         store_revision,
@@ -360,25 +427,26 @@
             return status_response(400);
         };
         let mut state = self.state.lock();
+        let contents = &mut state.contents;
         let unchanged = transaction.expected.iter().all(|expected| {
-            let current = state.items.get(&expected.key);
+            let current = contents.items.get(&expected.key);
             current.map_or(0, |item| item.revision) == expected.revision
         });
         if !unchanged {
             return status_response(412);
         }
         let lease_missing =
-            |put: &wire::Put| put.lease != 0 && !state.leases.contains_key(&put.lease);
+            |put: &wire::Put| put.lease != 0 && !contents.leases.contains_key(&put.lease);
         if transaction.puts.iter().any(lease_missing) {
             return status_response(404);
         }
         for put in transaction.puts {
-            state.write(&put.key, put.value, put.lease);
+            contents.write(&put.key, put.value, put.lease);
         }
         for key in transaction.remove {
-            state.delete(&key);
+            contents.delete(&key);
         }
-        let revision = state.revision;
+        let revision = contents.revision;
         drop(state);
         self.changed.notify_waiters();
         json_response(&wire::TransactionResponse { revision })
@@ -389,11 +457,12 @@
             return status_response(400);
         };
         let mut state = self.state.lock();
-        let id = state.next_lease;
-        state.next_lease += 1;
+        let contents = &mut state.contents;
+        let id = contents.next_lease;
+        contents.next_lease += 1;
         let ttl = time::Duration::from_millis(request.ttl_ms);
         let expires_at = time::Instant::now() + ttl;
-        state.leases.insert(id, Lease { expires_at, ttl });
+        contents.leases.insert(id, Lease { expires_at, ttl });
         json_response(&wire::LeaseResponse {
             lease: id,
             ttl_ms: request.ttl_ms,
@@ -402,7 +471,7 @@
 
     fn renew_lease(&self, id: u64) -> Response {
         let mut state = self.state.lock();
-        let Some(lease) = state.leases.get_mut(&id) else {
+        let Some(lease) = state.contents.leases.get_mut(&id) else {
             return status_response(404);
         };
         lease.expires_at = time::Instant::now() + lease.ttl;
--- a/standins/src/matrix/steps/revisions.rs
+++ b/standins/src/matrix/steps/revisions.rs
@@ -60,5 +60,5 @@
     let req = http.get(format!("{url}/status")).timeout(POLL_INTERVAL);
     let status: limpetkeeld::front::health::InstanceStatus =
         req.send().await.ok()?.json().await.ok()?;
-    Some(status.revision.0)
+    Some(status.revision.number())
 }
--- a/standins/src/matrix/steps/tables.rs
+++ b/standins/src/matrix/steps/tables.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use limpetkeel::{Declarations, Rank, Revision};
+use limpetkeel::{Declarations, Rank};
 
 use super::{POLL_INTERVAL, RunState, send_requests};
 use crate::{
@@ -124,7 +124,7 @@
         let at = state.now();
         state.history.changes.push(Change {
             at,
-            revision: written.0,
+            revision: written.number(),
         });
     }
     tokio::time::sleep(POLL_INTERVAL).await;
@@ -143,12 +143,12 @@
     for change in &mut state.history.changes {
         change.at = change.at.max(cleared_at);
     }
-    let Ok((Revision(last), _)) = client.tables().await else {
+    let Ok((last, _)) = client.tables().await else {
         return Ok(());
     };
     state.history.changes.push(Change {
         at: cleared_at,
-        revision: last,
+        revision: last.number(),
     });
     let deadline = time::Instant::now() + crate::history::CHANGE_BOUND + POLL_INTERVAL * 5;
     while time::Instant::now() < deadline {
@@ -159,7 +159,7 @@
             .filter(|daemon| daemon.process.is_some())
         {
             let status = fleet.status(daemon).await;
-            behind |= !status.is_ok_and(|status| status.revision.0 >= last);
+            behind |= !status.is_ok_and(|status| status.revision >= last);
         }
         if !behind {
             break;
