--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -114,6 +114,8 @@
         /// The time until a request with the part may be admitted.
         retry_after: unit::Millis,
     },
+    /// Upstreams crashed on this request before. It is not run again.
+    RequestQuarantined,
     /// The deadline passed while the request waited for a grant.
     DeadlineWhileWaiting,
     /// The byte budget of the instance for queued request bodies is exhausted.
@@ -205,6 +207,7 @@
             Error::NoCapacity { .. } => "no_capacity",
             Error::NoHelper => "no_helper",
             Error::PartHeldBack { .. } => "part_held_back",
+            Error::RequestQuarantined => "request_quarantined",
             Error::DeadlineWhileWaiting => "deadline_while_waiting",
             Error::BodyBudgetExhausted => "body_budget_exhausted",
             Error::QueueFull => "queue_full",
@@ -254,6 +257,7 @@
             | Error::RunOnceShardFull => Category::Capacity,
             Error::Draining
             | Error::PartHeldBack { .. }
+            | Error::RequestQuarantined
             | Error::NoUpstream(_)
             | Error::KeeperUnreachable
             | Error::StoreUnavailable
@@ -319,6 +323,9 @@
                 f,
                 "requests with a part of the prompt are held back for {retry_after}"
             ),
+            Error::RequestQuarantined => {
+                f.write_str("upstreams crashed on this request, and it is not run again")
+            }
             Error::WouldMissDeadline => {
                 f.write_str("the request could not finish before its deadline")
             }
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -32,6 +32,8 @@
 mod availability_zone;
 mod backlog_index;
 mod budget;
+mod crash_cause;
+mod crash_screening;
 mod drain_schedule;
 mod engine;
 mod error;
@@ -46,12 +48,10 @@
 mod lock;
 mod member;
 mod name;
-mod part_screening;
 mod plan;
 mod planner;
 mod pool;
 mod prefix;
-mod prompt_part;
 mod quarantine_list;
 mod rank;
 mod relayed_request;
@@ -75,6 +75,11 @@
 
 pub use availability_zone::{Reachability, ZoneReachability};
 pub use budget::{BodyBudget, RetryBudget};
+pub use crash_cause::{CrashCause, Quarantine, QuarantineUpdate};
+pub use crash_screening::{
+    CauseDecision, CauseDecisionKind, Crash, CrashScreening, MAX_CAUSES_PER_REQUEST,
+    MAX_PARTS_PER_REQUEST, UpstreamLifetime, Verdict as ScreeningVerdict,
+};
 pub use drain_schedule::DrainSchedule;
 pub use engine::{EngineParameters, EngineTiming};
 pub use error::{Category, Error, Outcome, Result, Rule};
@@ -100,15 +105,10 @@
     AvailabilityZoneName, IdempotencyKey, InstanceName, Kind as NameKind, PoolName, RouteName,
     UpstreamName, WorkspaceName,
 };
-pub use part_screening::{
-    Crash, MAX_PARTS_PER_REQUEST, PartDecision, PartDecisionKind, PartScreening, UpstreamLifetime,
-    Verdict as ScreeningVerdict,
-};
 pub use plan::{AttemptResult, Helper, Plan, PlanRequest, PlanResult, ReportedPlan};
 pub use planner::{FreeMemory, Planner};
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
-pub use prompt_part::{PartId, Quarantine, QuarantineUpdate};
 pub use quarantine_list::{
     Entry as QuarantineListEntry, MAX_LOCAL_UPDATES, MAX_QUARANTINES, QUARANTINE_LIFETIME,
     QuarantineList,
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -1,6 +1,6 @@
 //! Plans of relayed requests and the messages about them between instances and planners.
 
-use crate::{grant, ingress, name, prompt_part, request_limit, request_size, unit};
+use crate::{crash_cause, grant, ingress, name, request_limit, request_size, unit};
 
 /// A request for a plan.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -13,8 +13,9 @@
     pub availability_zone: name::AvailabilityZoneName,
     /// The size of the request; zero for a plain service.
     pub size: request_size::RequestSize,
-    /// The parts of the prompt that other requests may share.
-    pub parts: Vec<prompt_part::PartId>,
+    /// What may crash the upstreams that run the request: the request itself, then the parts of its
+    /// prompt that others may share.
+    pub causes: Vec<crash_cause::CrashCause>,
     /// The latency objective of the request.
     pub objective: ingress::LatencyObjective,
     /// The time until the deadline. It is a duration since instances do not share a clock.
@@ -100,8 +101,9 @@
     pub plan: Plan,
     /// The size of the request.
     pub size: request_size::RequestSize,
-    /// The parts of the prompt that other requests may share.
-    pub parts: Vec<prompt_part::PartId>,
+    /// What may crash the upstreams that run the request: the request itself, then the parts of its
+    /// prompt that others may share.
+    pub causes: Vec<crash_cause::CrashCause>,
     /// The latency objective of the request.
     pub objective: ingress::LatencyObjective,
     /// The time until the deadline of the request.
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -30,7 +30,7 @@
 
 pub use memory::FreeMemory;
 
-use crate::{engine, error, grant, name, part_screening, plan, unit, upstream_registry};
+use crate::{crash_screening, engine, error, grant, name, plan, unit, upstream_registry};
 
 /// A prompt whose prefill takes more than this fraction of the shortest gap is split into parts.
 const LONG_PROMPT_FRACTION: f64 = 0.4;
@@ -80,7 +80,7 @@
     prefill_set: prefill_set::PrefillSet,
     health: health::UpstreamHealth,
     plans: collections::BTreeMap<grant::RequestId, ledger::PlanRecord>,
-    screening: part_screening::PartScreening,
+    screening: crash_screening::CrashScreening,
     waiting: waiting::WaitingList,
     /// How much later than computed the responses to long prompts begin.
     prefill_delay: delay::Delay,
@@ -100,7 +100,7 @@
             prefill_set: prefill_set::PrefillSet::default(),
             health: health::UpstreamHealth::default(),
             plans: collections::BTreeMap::new(),
-            screening: part_screening::PartScreening::default(),
+            screening: crash_screening::CrashScreening::default(),
             waiting: waiting::WaitingList::default(),
             prefill_delay: delay::Delay::new(
                 prefill_queue::DELAY_WEIGHT,
@@ -160,7 +160,8 @@
     /// [`error::Error::AwaitingCapacity`] if the request has to wait for its turn,
     /// [`error::Error::NoCapacity`] if it would have to wait too long, [`error::Error::NoHelper`] if
     /// no engine accepts a part of the prompt,
-    /// [`error::Error::PartHeldBack`] if upstreams crashed on a part of the prompt, and
+    /// [`error::Error::PartHeldBack`] if upstreams crashed on a part of the prompt,
+    /// [`error::Error::RequestQuarantined`] if they crashed on the request itself, and
     /// [`error::Error::WouldMissDeadline`] if the estimate of a request that one upstream serves
     /// alone leaves too little of its remaining time.
     pub fn plan(
@@ -190,7 +191,7 @@
             pool: self.pool.clone(),
             plan,
             size: request.size,
-            parts: request.parts.clone(),
+            causes: request.causes.clone(),
             objective: request.objective,
             remaining: request.remaining,
             response_begun: false,
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -1,9 +1,9 @@
 //! The life cycle of plans in the ledger: recording, the first token, completion and expiry.
 
 use crate::{
-    grant, name, part_screening, plan,
+    crash_cause, crash_screening, grant, name, plan,
     planner::{self, health, upstream},
-    prompt_part, request_size, unit,
+    request_size, unit,
 };
 
 /// How long after the deadline of its request a plan expires if its end is not reported.
@@ -35,9 +35,9 @@
     pub(super) expected_end: unit::Timestamp,
     pub(super) expires_at: unit::Timestamp,
     /// The parts of the prompt that other requests may share.
-    pub(super) parts: Vec<prompt_part::PartId>,
+    pub(super) causes: Vec<crash_cause::CrashCause>,
     /// The process of the lead, unless it was unknown or draining.
-    pub(super) lead: Option<part_screening::UpstreamLifetime>,
+    pub(super) lead: Option<crash_screening::UpstreamLifetime>,
     pub(super) response_begun: bool,
 }
 
@@ -113,7 +113,7 @@
             }
         }
         if reported_plan.response_begun {
-            self.screening.record_response(&reported_plan.parts);
+            self.screening.record_response(&reported_plan.causes);
         }
         let lead = self.upstreams.get(&plan.lead.upstream);
         let decode = self.timing.zip(lead).map(|(timing, lead)| {
@@ -136,7 +136,7 @@
             decode,
             expected_end: now.after(until_first_token + decode),
             expires_at: now.after(reported_plan.remaining + EXPIRY_GRACE),
-            parts: reported_plan.parts.clone(),
+            causes: reported_plan.causes.clone(),
             lead: lead_lifetime,
             response_begun: reported_plan.response_begun,
         };
@@ -153,7 +153,7 @@
         };
         record.response_begun = true;
         record.expected_end = now.after(record.decode);
-        self.screening.record_response(&record.parts);
+        self.screening.record_response(&record.causes);
         for name in &record.participants {
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.finish_part(id);
@@ -198,7 +198,7 @@
         let Some(record) = self.plans.remove(&id) else {
             return;
         };
-        self.screening.end_trial(id, &record.parts);
+        self.screening.end_trial(id, &record.causes);
         for name in &record.participants {
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.release(id);
--- a/limpetkeel/src/planner/screening.rs
+++ b/limpetkeel/src/planner/screening.rs
@@ -1,6 +1,6 @@
-//! Screening of requests by the parts of their prompts: evidence from results, and trials.
+//! Screening of requests by the causes: evidence from results, and trials.
 
-use crate::{error, part_screening, plan, planner, prompt_part, unit};
+use crate::{crash_cause, crash_screening, error, plan, planner, unit};
 
 /// Whether a request is kept apart from other requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,54 +18,55 @@
     }
 
     /// Applies the quarantines that the instances have in common. See
-    /// [`PartScreening::set_quarantines`](part_screening::PartScreening::set_quarantines).
+    /// [`CrashScreening::set_quarantines`](crash_screening::CrashScreening::set_quarantines).
     pub fn set_quarantines(
         &mut self,
         now: unit::Timestamp,
         generation: u64,
-        quarantines: &[prompt_part::Quarantine],
+        quarantines: &[crash_cause::Quarantine],
     ) {
         self.quarantine_generation = Some(generation);
         self.screening.set_quarantines(now, quarantines);
     }
 
     /// Returns the changes of quarantines since the last call, which other instances need to know.
-    pub fn take_quarantine_updates(&mut self) -> Vec<prompt_part::QuarantineUpdate> {
+    pub fn take_quarantine_updates(&mut self) -> Vec<crash_cause::QuarantineUpdate> {
         self.screening.take_updates()
     }
 
-    /// Returns the decisions about parts since the last call.
-    pub fn take_part_decisions(&mut self) -> Vec<part_screening::PartDecision> {
+    /// Returns the decisions about causes since the last call.
+    pub fn take_cause_decisions(&mut self) -> Vec<crash_screening::CauseDecision> {
         self.screening.take_decisions()
     }
 
-    /// Checks whether a request may be planned, in view of the parts of its prompt.
+    /// Checks whether a request may be planned, in view of the causes.
     pub(super) fn screen(
         &mut self,
         now: unit::Timestamp,
         request: &plan::PlanRequest,
     ) -> error::Result<Isolation> {
-        match self.screening.screen(now, &request.parts) {
-            part_screening::Verdict::Clear => Ok(Isolation::None),
-            part_screening::Verdict::Trial => Ok(Isolation::Trial),
-            part_screening::Verdict::Refused { retry_after } => {
+        match self.screening.screen(now, &request.causes) {
+            crash_screening::Verdict::Clear => Ok(Isolation::None),
+            crash_screening::Verdict::Trial => Ok(Isolation::Trial),
+            crash_screening::Verdict::Refused { retry_after } => {
                 Err(error::Error::PartHeldBack { retry_after })
             }
+            crash_screening::Verdict::Rejected => Err(error::Error::RequestQuarantined),
         }
     }
 
-    /// Starts a trial of the suspected parts of a request that has been planned.
+    /// Starts a trial of the suspected causes of a request that has been planned.
     pub(super) fn begin_trial(&mut self, trial: &plan::ReportedPlan) {
         let plan = &trial.plan;
-        self.screening.begin_trial(plan.id, &trial.parts);
+        self.screening.begin_trial(plan.id, &trial.causes);
         if let Some(lead) = self.upstreams.get_mut(&plan.lead.upstream) {
             lead.begin_trial(plan.id);
         }
     }
 
-    /// Evaluates the result of an attempt as evidence about the parts of its prompt.
+    /// Evaluates the result of an attempt as evidence about the causes.
     ///
-    /// The crash of an upstream that was draining or restarted says nothing. The parts of a
+    /// The crash of an upstream that was draining or restarted says nothing. The causes of a
     /// response in progress are sound.
     pub(super) fn screen_result(&mut self, now: unit::Timestamp, plan_result: &plan::PlanResult) {
         let Some(record) = self.plans.get(&plan_result.id) else {
@@ -75,7 +76,7 @@
             return;
         }
         if plan_result.response_begun {
-            self.screening.record_response(&record.parts);
+            self.screening.record_response(&record.causes);
             return;
         }
         let current = self.upstreams.get(&plan_result.upstream);
@@ -86,19 +87,19 @@
         let Some(lead) = &record.lead else {
             return;
         };
-        let crash = part_screening::Crash {
+        let crash = crash_screening::Crash {
             plan: plan_result.id,
             planned_at: record.planned_at,
             upstream: lead.clone(),
         };
         let responding = || self.plans.values().filter(|other| other.response_begun);
-        let is_sound = |part| responding().any(|other| other.parts.contains(part));
-        let parts: Vec<_> = record
-            .parts
+        let is_sound = |cause| responding().any(|other| other.causes.contains(cause));
+        let causes: Vec<_> = record
+            .causes
             .iter()
-            .filter(|part| !is_sound(part))
+            .filter(|cause| !is_sound(cause))
             .copied()
             .collect();
-        self.screening.record_crash(now, &crash, &parts);
+        self.screening.record_crash(now, &crash, &causes);
     }
 }
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use crate::{
-    engine, grant, name, part_screening, planner::delay, request_size, unit, upstream_registry,
+    crash_screening, engine, grant, name, planner::delay, request_size, unit, upstream_registry,
 };
 
 /// The estimated wait for a free slot or for memory on a full upstream, in milliseconds. Requests
@@ -107,8 +107,8 @@
         self.entry.start_time
     }
 
-    pub(super) fn lifetime(&self) -> part_screening::UpstreamLifetime {
-        part_screening::UpstreamLifetime {
+    pub(super) fn lifetime(&self) -> crash_screening::UpstreamLifetime {
+        crash_screening::UpstreamLifetime {
             name: self.entry.name.clone(),
             start_time: self.entry.start_time,
         }
--- a/limpetkeel/src/quarantine_list.rs
+++ b/limpetkeel/src/quarantine_list.rs
@@ -1,8 +1,8 @@
-//! The quarantine list: the parts of prompts that are quarantined on all instances.
+//! The quarantine list: the causes of crashes that are quarantined on all instances.
 //!
 //! The list consists of the entries in the platform's store and of the updates of the local
 //! planners. A local update takes effect at once and is queued to be written to the store. It
-//! takes precedence over the entry of its part until the changes up to the revision of the write
+//! takes precedence over the entry of its cause until the changes up to the revision of the write
 //! have been applied, so that an older change that arrives meanwhile does not revert it.
 //!
 //! A store that comes back from an older copy has lost the latest writes. The instance that wrote an
@@ -10,7 +10,7 @@
 
 use std::collections;
 
-use crate::{prompt_part, revision, unit};
+use crate::{crash_cause, revision, unit};
 
 /// The time after which an entry expires, in case no instance removes it.
 pub const QUARANTINE_LIFETIME: unit::Millis = unit::Millis(300_000);
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// The quarantine.
-    pub quarantine: prompt_part::Quarantine,
+    pub quarantine: crash_cause::Quarantine,
     /// The revision of the entry's last change.
     pub revision: revision::Revision,
 }
@@ -45,7 +45,7 @@
 /// An update that the entries of the store may not include.
 #[derive(Clone, Copy, Debug)]
 struct LocalUpdate {
-    update: prompt_part::QuarantineUpdate,
+    update: crash_cause::QuarantineUpdate,
     /// The position among the local updates, by which they are written.
     position: u64,
     published_at: unit::Timestamp,
@@ -66,13 +66,13 @@
 #[derive(Debug, Default)]
 pub struct QuarantineList {
     /// The entries in the store at `revision`.
-    stored: collections::BTreeMap<prompt_part::PartId, Entry>,
+    stored: collections::BTreeMap<crash_cause::CrashCause, Entry>,
     /// The revision up to which all changes have been applied.
     revision: revision::Revision,
     /// The local updates that the entries may not include.
-    local: collections::BTreeMap<prompt_part::PartId, LocalUpdate>,
+    local: collections::BTreeMap<crash_cause::CrashCause, LocalUpdate>,
     /// The latest updates that this instance has written, which the entries include.
-    written: collections::BTreeMap<prompt_part::PartId, LocalUpdate>,
+    written: collections::BTreeMap<crash_cause::CrashCause, LocalUpdate>,
     /// The position of the next local update.
     next_position: u64,
     /// The number of changes, by which users of the list detect that their copy is outdated.
@@ -85,21 +85,21 @@
         self.generation
     }
 
-    /// Returns the quarantine of a part.
-    pub fn get(&self, part: prompt_part::PartId) -> Option<prompt_part::Quarantine> {
-        match self.local.get(&part) {
+    /// Returns the quarantine of a cause.
+    pub fn get(&self, cause: crash_cause::CrashCause) -> Option<crash_cause::Quarantine> {
+        match self.local.get(&cause) {
             Some(local) => imposed(local.update),
-            None => self.stored.get(&part).map(|entry| entry.quarantine),
+            None => self.stored.get(&cause).map(|entry| entry.quarantine),
         }
     }
 
     /// Returns the quarantines.
-    pub fn entries(&self) -> impl Iterator<Item = prompt_part::Quarantine> {
+    pub fn entries(&self) -> impl Iterator<Item = crash_cause::Quarantine> {
         let stored = self
             .stored
             .values()
             .map(|entry| entry.quarantine)
-            .filter(|quarantine| !self.local.contains_key(&quarantine.part));
+            .filter(|quarantine| !self.local.contains_key(&quarantine.cause));
         let local = self
             .local
             .values()
@@ -112,18 +112,18 @@
         self.stored.values()
     }
 
-    /// Applies an entry of the store unless a newer one of the same part is known. If the list is
+    /// Applies an entry of the store unless a newer one of the same cause is known. If the list is
     /// full, the oldest entry is removed.
     pub fn insert(&mut self, entry: Entry) {
-        let part = entry.quarantine.part;
-        let known = self.stored.get(&part);
+        let cause = entry.quarantine.cause;
+        let known = self.stored.get(&cause);
         if known.is_some_and(|known| known.revision > entry.revision) {
             return;
         }
-        self.forget_written(part, entry.revision);
-        self.modify(part, |list| {
-            list.forget_retained(part);
-            list.stored.insert(part, entry)
+        self.forget_written(cause, entry.revision);
+        self.modify(cause, |list| {
+            list.forget_retained(cause);
+            list.stored.insert(cause, entry)
         });
         if self.stored.len() > MAX_QUARANTINES {
             self.remove_oldest();
@@ -131,27 +131,27 @@
     }
 
     /// Applies the removal of an entry from the store at a revision.
-    pub fn remove(&mut self, part: prompt_part::PartId, at: revision::Revision) {
-        self.forget_written(part, at);
-        let known = self.stored.get(&part);
+    pub fn remove(&mut self, cause: crash_cause::CrashCause, at: revision::Revision) {
+        self.forget_written(cause, at);
+        let known = self.stored.get(&cause);
         if known.is_some_and(|known| known.revision <= at) {
-            self.modify(part, |list| list.stored.remove(&part));
+            self.modify(cause, |list| list.stored.remove(&cause));
         }
     }
 
-    /// Forgets a written update of a part that another instance has updated since.
-    fn forget_written(&mut self, part: prompt_part::PartId, at: revision::Revision) {
-        let written = self.written.get(&part).map(|written| written.progress);
+    /// Forgets a written update of a cause that another instance has updated since.
+    fn forget_written(&mut self, cause: crash_cause::CrashCause, at: revision::Revision) {
+        let written = self.written.get(&cause).map(|written| written.progress);
         if written.is_some_and(|progress| progress < Progress::Written(at)) {
-            self.written.remove(&part);
+            self.written.remove(&cause);
         }
     }
 
-    /// Forgets a retained quarantine, because the store lists the part again.
-    fn forget_retained(&mut self, part: prompt_part::PartId) {
-        let local = self.local.get(&part);
+    /// Forgets a retained quarantine, because the store lists the cause again.
+    fn forget_retained(&mut self, cause: crash_cause::CrashCause) {
+        let local = self.local.get(&cause);
         if local.is_some_and(|local| local.progress == Progress::Retained) {
-            self.local.remove(&part);
+            self.local.remove(&cause);
         }
     }
 
@@ -164,15 +164,15 @@
             self.recover_lost(now, &entries);
         }
         let listed: collections::BTreeSet<_> =
-            entries.iter().map(|entry| entry.quarantine.part).collect();
+            entries.iter().map(|entry| entry.quarantine.cause).collect();
         let removed: Vec<_> = self
             .stored
             .keys()
-            .filter(|part| !listed.contains(part))
+            .filter(|cause| !listed.contains(cause))
             .copied()
             .collect();
-        for part in removed {
-            self.remove(part, at);
+        for cause in removed {
+            self.remove(cause, at);
         }
         for entry in entries {
             self.insert(entry);
@@ -191,31 +191,31 @@
         }
         let stored = self.stored.values().map(|entry| entry.quarantine);
         let unpublished = stored.filter(|quarantine| {
-            let is_lost = |local: &LocalUpdate| part_of(local.update) == quarantine.part;
-            !lost.iter().any(is_lost) && !self.local.contains_key(&quarantine.part)
+            let is_lost = |local: &LocalUpdate| cause_of(local.update) == quarantine.cause;
+            !lost.iter().any(is_lost) && !self.local.contains_key(&quarantine.cause)
         });
         let retained = unpublished.map(|quarantine| LocalUpdate {
-            update: prompt_part::QuarantineUpdate::Imposed(quarantine),
+            update: crash_cause::QuarantineUpdate::Imposed(quarantine),
             position: 0,
             published_at: now,
             progress: Progress::Retained,
         });
         lost.extend(retained.collect::<Vec<_>>());
         for mut local in lost {
-            let part = part_of(local.update);
-            let listed = entries.iter().find(|entry| entry.quarantine.part == part);
+            let cause = cause_of(local.update);
+            let listed = entries.iter().find(|entry| entry.quarantine.cause == cause);
             let is_included = match (local.update, listed) {
-                (prompt_part::QuarantineUpdate::Imposed(quarantine), Some(entry)) => {
+                (crash_cause::QuarantineUpdate::Imposed(quarantine), Some(entry)) => {
                     entry.quarantine.crashes >= quarantine.crashes
                 }
-                (prompt_part::QuarantineUpdate::Lifted(_), None) => true,
+                (crash_cause::QuarantineUpdate::Lifted(_), None) => true,
                 _ => false,
             };
             if is_included {
-                self.modify(part, |list| list.local.remove(&part));
+                self.modify(cause, |list| list.local.remove(&cause));
             } else {
                 local.position = self.take_position();
-                self.modify(part, |list| list.local.insert(part, local));
+                self.modify(cause, |list| list.local.insert(cause, local));
             }
         }
     }
@@ -227,18 +227,18 @@
             .local
             .iter()
             .filter(|(_, local)| local.is_included(self.revision))
-            .map(|(part, local)| (*part, *local))
+            .map(|(cause, local)| (*cause, *local))
             .collect();
-        for (part, local) in included {
-            self.modify(part, |list| list.local.remove(&part));
-            self.written.insert(part, local);
+        for (cause, local) in included {
+            self.modify(cause, |list| list.local.remove(&cause));
+            self.written.insert(cause, local);
         }
         while self.written.len() > MAX_LOCAL_UPDATES {
             let oldest = self.written.iter().min_by_key(|(_, local)| local.position);
-            let Some(part) = oldest.map(|(part, _)| *part) else {
+            let Some(cause) = oldest.map(|(cause, _)| *cause) else {
                 break;
             };
-            self.written.remove(&part);
+            self.written.remove(&cause);
         }
     }
 
@@ -250,24 +250,24 @@
             .local
             .iter()
             .filter(|(_, local)| local.progress == Progress::Retained && !is_current(local))
-            .map(|(part, _)| *part)
+            .map(|(cause, _)| *cause)
             .collect();
-        for part in expired {
-            self.modify(part, |list| list.local.remove(&part));
+        for cause in expired {
+            self.modify(cause, |list| list.local.remove(&cause));
         }
     }
 
     /// Applies an update of a local planner and queues it to be written to the store. It replaces
-    /// an earlier update of the same part. If the queue is full, the oldest update is removed.
-    pub fn publish(&mut self, now: unit::Timestamp, update: prompt_part::QuarantineUpdate) {
-        let part = part_of(update);
+    /// an earlier update of the same cause. If the queue is full, the oldest update is removed.
+    pub fn publish(&mut self, now: unit::Timestamp, update: crash_cause::QuarantineUpdate) {
+        let cause = cause_of(update);
         let local = LocalUpdate {
             update,
             position: self.take_position(),
             published_at: now,
             progress: Progress::Queued,
         };
-        self.modify(part, |list| list.local.insert(part, local));
+        self.modify(cause, |list| list.local.insert(cause, local));
         if self.local.len() > MAX_LOCAL_UPDATES
             && let Some(oldest) = self.oldest_local(|_| true)
         {
@@ -278,14 +278,14 @@
     /// Returns the update to write to the store next.
     ///
     /// Updates whose writes have failed for longer than [`QUARANTINE_LIFETIME`] are discarded.
-    pub fn next_write(&mut self, now: unit::Timestamp) -> Option<prompt_part::QuarantineUpdate> {
+    pub fn next_write(&mut self, now: unit::Timestamp) -> Option<crash_cause::QuarantineUpdate> {
         loop {
-            let part = self.oldest_local(|local| local.progress == Progress::Queued)?;
-            let local = self.local.get(&part)?;
+            let cause = self.oldest_local(|local| local.progress == Progress::Queued)?;
+            let local = self.local.get(&cause)?;
             if now.since(local.published_at) <= QUARANTINE_LIFETIME {
                 return Some(local.update);
             }
-            self.modify(part, |list| list.local.remove(&part));
+            self.modify(cause, |list| list.local.remove(&cause));
         }
     }
 
@@ -294,10 +294,10 @@
     /// An update that has been replaced since remains queued.
     pub fn record_written(
         &mut self,
-        update: prompt_part::QuarantineUpdate,
+        update: crash_cause::QuarantineUpdate,
         revision: revision::Revision,
     ) {
-        if let Some(local) = self.local.get_mut(&part_of(update))
+        if let Some(local) = self.local.get_mut(&cause_of(update))
             && local.update == update
         {
             local.progress = Progress::Written(revision);
@@ -306,9 +306,9 @@
     }
 
     /// Records that the write of an update failed. It is written again after the other updates.
-    pub fn record_failed(&mut self, update: prompt_part::QuarantineUpdate) {
+    pub fn record_failed(&mut self, update: crash_cause::QuarantineUpdate) {
         let position = self.take_position();
-        if let Some(local) = self.local.get_mut(&part_of(update)) {
+        if let Some(local) = self.local.get_mut(&cause_of(update)) {
             local.position = position;
         }
     }
@@ -318,51 +318,51 @@
         self.next_position
     }
 
-    /// Returns the part of the first of the local updates that fulfill a condition.
+    /// Returns the cause of the first of the local updates that fulfill a condition.
     fn oldest_local(
         &self,
         condition: impl Fn(&LocalUpdate) -> bool,
-    ) -> Option<prompt_part::PartId> {
+    ) -> Option<crash_cause::CrashCause> {
         let candidates = self.local.iter().filter(|(_, local)| condition(local));
         let oldest = candidates.min_by_key(|(_, local)| local.position);
-        oldest.map(|(part, _)| *part)
+        oldest.map(|(cause, _)| *cause)
     }
 
     /// Removes the entry with the lowest revision.
     fn remove_oldest(&mut self) {
         let oldest = self.stored.values().min_by_key(|entry| entry.revision);
-        if let Some(part) = oldest.map(|entry| entry.quarantine.part) {
-            self.modify(part, |list| list.stored.remove(&part));
+        if let Some(cause) = oldest.map(|entry| entry.quarantine.cause) {
+            self.modify(cause, |list| list.stored.remove(&cause));
         }
     }
 
-    /// Performs a modification that concerns one part, and increments the generation if the
-    /// quarantine of the part has changed.
+    /// Performs a modification that concerns one cause, and increments the generation if the
+    /// quarantine of the cause has changed.
     fn modify<T>(
         &mut self,
-        part: prompt_part::PartId,
+        cause: crash_cause::CrashCause,
         modification: impl FnOnce(&mut QuarantineList) -> T,
     ) {
-        let before = self.get(part);
+        let before = self.get(cause);
         modification(self);
-        if self.get(part) != before {
+        if self.get(cause) != before {
             self.generation += 1;
         }
     }
 }
 
-/// Returns the part that an update concerns.
-fn part_of(update: prompt_part::QuarantineUpdate) -> prompt_part::PartId {
+/// Returns the cause that an update concerns.
+fn cause_of(update: crash_cause::QuarantineUpdate) -> crash_cause::CrashCause {
     match update {
-        prompt_part::QuarantineUpdate::Imposed(quarantine) => quarantine.part,
-        prompt_part::QuarantineUpdate::Lifted(part) => part,
+        crash_cause::QuarantineUpdate::Imposed(quarantine) => quarantine.cause,
+        crash_cause::QuarantineUpdate::Lifted(cause) => cause,
     }
 }
 
 /// Returns the quarantine that an update imposes.
-fn imposed(update: prompt_part::QuarantineUpdate) -> Option<prompt_part::Quarantine> {
+fn imposed(update: crash_cause::QuarantineUpdate) -> Option<crash_cause::Quarantine> {
     match update {
-        prompt_part::QuarantineUpdate::Imposed(quarantine) => Some(quarantine),
-        prompt_part::QuarantineUpdate::Lifted(_) => None,
+        crash_cause::QuarantineUpdate::Imposed(quarantine) => Some(quarantine),
+        crash_cause::QuarantineUpdate::Lifted(_) => None,
     }
 }
--- a/limpetkeel/src/store_snapshot.rs
+++ b/limpetkeel/src/store_snapshot.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync};
 
 use crate::{
-    ingress, instance_registry, member, name, prompt_part, quarantine_list, revision,
+    crash_cause, ingress, instance_registry, member, name, quarantine_list, revision,
     upstream_registry,
 };
 
@@ -18,7 +18,7 @@
     pub upstreams: Vec<upstream_registry::Entry>,
     /// The instances of the system.
     pub instances: Vec<member::Contact>,
-    /// The quarantined parts of prompts.
+    /// The quarantined causes of crashes.
     pub quarantines: Vec<quarantine_list::Entry>,
     /// The entries that cannot be decoded. They are counted by the instance that reads the store.
     #[serde(skip)]
@@ -67,19 +67,19 @@
         changes.extend(joined.cloned().map(Change::Instance));
         let known: collections::BTreeMap<_, _> = quarantines
             .stored_entries()
-            .map(|entry| (entry.quarantine.part, entry))
+            .map(|entry| (entry.quarantine.cause, entry))
             .collect();
         let listed: collections::BTreeSet<_> = self
             .quarantines
             .iter()
-            .map(|entry| entry.quarantine.part)
+            .map(|entry| entry.quarantine.cause)
             .collect();
         let removed = known.keys().filter(|part| !listed.contains(part));
         changes.extend(removed.map(|part| Change::QuarantineRemoved(*part, self.revision)));
         let changed = self
             .quarantines
             .iter()
-            .filter(|entry| known.get(&entry.quarantine.part) != Some(entry));
+            .filter(|entry| known.get(&entry.quarantine.cause) != Some(entry));
         changes.extend(changed.copied().map(Change::Quarantine));
         Changes {
             revision: self.revision,
@@ -104,10 +104,10 @@
     Instance(member::Contact),
     /// The entry of an instance was deleted.
     InstanceRemoved(name::InstanceName),
-    /// The entry of a quarantined part was written.
+    /// The entry of a quarantined cause was written.
     Quarantine(quarantine_list::Entry),
-    /// The entry of a quarantined part was deleted at a revision.
-    QuarantineRemoved(prompt_part::PartId, revision::Revision),
+    /// The entry of a quarantined cause was deleted at a revision.
+    QuarantineRemoved(crash_cause::CrashCause, revision::Revision),
     /// The value that was written to this key cannot be decoded and is ignored.
     Unreadable(String),
 }
@@ -118,7 +118,7 @@
     Ingress,
     Upstream(name::UpstreamName),
     Instance(name::InstanceName),
-    Quarantine(prompt_part::PartId),
+    Quarantine(crash_cause::CrashCause),
     Unreadable(String),
 }
 
@@ -130,7 +130,7 @@
             Change::UpstreamRemoved(name, _) => Subject::Upstream(name.clone()),
             Change::Instance(contact) => Subject::Instance(contact.name.clone()),
             Change::InstanceRemoved(name) => Subject::Instance(name.clone()),
-            Change::Quarantine(entry) => Subject::Quarantine(entry.quarantine.part),
+            Change::Quarantine(entry) => Subject::Quarantine(entry.quarantine.cause),
             Change::QuarantineRemoved(part, _) => Subject::Quarantine(*part),
             Change::Unreadable(key) => Subject::Unreadable(key.clone()),
         }
--- a/limpetkeel/tests/part_screening.rs
+++ b/limpetkeel/tests/crash_screening.rs
@@ -1,19 +1,19 @@
 //! Tests of the screening of prompt parts: evidence, trials, quarantines and their expiry.
 
 use limpetkeel::{
-    Crash, MAX_PARTS_PER_REQUEST, Millis, PartDecisionKind, PartId, PartScreening, Quarantine,
-    QuarantineUpdate, RequestId, ScreeningVerdict, Timestamp, UpstreamLifetime,
+    CauseDecisionKind, Crash, CrashCause, CrashScreening, MAX_CAUSES_PER_REQUEST, Millis,
+    Quarantine, QuarantineUpdate, RequestId, ScreeningVerdict, Timestamp, UpstreamLifetime,
 };
 use test_case::test_case;
 
 /// A part that all requests of a route share.
-const COMMON: PartId = PartId(1);
+const COMMON: CrashCause = CrashCause::Part(1);
 
 /// A part of sound requests.
-const SOUND: PartId = PartId(2);
+const SOUND: CrashCause = CrashCause::Part(2);
 
 /// A part that crashes upstreams.
-const DEADLY: PartId = PartId(0xdead);
+const DEADLY: CrashCause = CrashCause::Part(0xdead);
 
 /// Returns a process of an upstream.
 fn upstream(index: u64) -> UpstreamLifetime {
@@ -24,7 +24,7 @@
 }
 
 /// Records the crash of an upstream of its own, under the plan with the same number.
-fn crash(screening: &mut PartScreening, now: u64, number: u64, parts: &[PartId]) {
+fn crash(screening: &mut CrashScreening, now: u64, number: u64, parts: &[CrashCause]) {
     let crash = Crash {
         plan: RequestId(number),
         planned_at: Timestamp(now.saturating_sub(150)),
@@ -34,14 +34,14 @@
 }
 
 /// Starts a trial of parts.
-fn begin_trial(screening: &mut PartScreening, now: u64, number: u64, parts: &[PartId]) {
+fn begin_trial(screening: &mut CrashScreening, now: u64, number: u64, parts: &[CrashCause]) {
     let verdict = screening.screen(Timestamp(now), parts);
     assert_eq!(verdict, ScreeningVerdict::Trial, "at {now}");
     screening.begin_trial(RequestId(number), parts);
 }
 
 /// Returns the time until the next trial.
-fn retry_after(screening: &mut PartScreening, now: u64, part: PartId) -> Millis {
+fn retry_after(screening: &mut CrashScreening, now: u64, part: CrashCause) -> Millis {
     match screening.screen(Timestamp(now), &[part]) {
         ScreeningVerdict::Refused { retry_after } => retry_after,
         verdict => panic!("{verdict:?}"),
@@ -49,8 +49,8 @@
 }
 
 /// Returns a screening in which a part was suspected with two crashes and quarantined at 2 s.
-fn quarantined(part: PartId) -> PartScreening {
-    let mut screening = PartScreening::default();
+fn quarantined(part: CrashCause) -> CrashScreening {
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[part]);
     crash(&mut screening, 1_000, 2, &[part]);
     begin_trial(&mut screening, 1_500, 3, &[part]);
@@ -60,18 +60,18 @@
 
 #[test]
 fn a_part_without_evidence_is_not_stored() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     for part in 0..100 {
-        let verdict = screening.screen(Timestamp(0), &[PartId(part)]);
+        let verdict = screening.screen(Timestamp(0), &[CrashCause::Part(part)]);
         assert_eq!(verdict, ScreeningVerdict::Clear);
-        screening.record_response(&[PartId(part)]);
+        screening.record_response(&[CrashCause::Part(part)]);
     }
     assert!(screening.is_empty());
 }
 
 #[test]
 fn two_crashes_suspect_a_part_and_a_crashed_trial_quarantines_it() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[DEADLY]);
     let verdict = screening.screen(Timestamp(10), &[DEADLY]);
     assert_eq!(verdict, ScreeningVerdict::Clear, "one crash");
@@ -80,7 +80,7 @@
     crash(&mut screening, 2_000, 3, &[DEADLY]);
     assert_eq!(retry_after(&mut screening, 2_000, DEADLY), Millis(10_000));
     let quarantine = Quarantine {
-        part: DEADLY,
+        cause: DEADLY,
         crashes: 3,
     };
     assert_eq!(
@@ -95,9 +95,9 @@
     assert_eq!(
         kinds,
         [
-            PartDecisionKind::Suspected,
-            PartDecisionKind::TrialStarted,
-            PartDecisionKind::Quarantined
+            CauseDecisionKind::Suspected,
+            CauseDecisionKind::TrialStarted,
+            CauseDecisionKind::Quarantined
         ]
     );
 }
@@ -120,7 +120,7 @@
 
 #[test]
 fn one_request_at_a_time_is_admitted_as_a_trial() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[COMMON, DEADLY]);
     crash(&mut screening, 1_000, 2, &[COMMON, DEADLY]);
     begin_trial(&mut screening, 1_100, 3, &[COMMON, DEADLY]);
@@ -133,7 +133,7 @@
 
 #[test]
 fn a_trial_without_a_result_is_no_strike() {
-    let mut suspected = PartScreening::default();
+    let mut suspected = CrashScreening::default();
     crash(&mut suspected, 0, 1, &[DEADLY]);
     crash(&mut suspected, 1_000, 2, &[DEADLY]);
     begin_trial(&mut suspected, 1_100, 3, &[DEADLY]);
@@ -162,7 +162,7 @@
 
 #[test]
 fn sound_requests_with_the_other_parts_keep_running() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     for number in 1..=2 {
         let now = number * 1_000;
         crash(&mut screening, now, number, &[COMMON, SOUND, DEADLY]);
@@ -189,7 +189,7 @@
 
 #[test]
 fn simultaneous_crashes_have_one_cause() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     // A zone is lost: all upstreams break off within a tenth of a second.
     for number in 0..20 {
         crash(&mut screening, 1_000 + number * 5, number, &[COMMON]);
@@ -200,7 +200,7 @@
 
 #[test]
 fn a_retry_that_crashes_at_once_has_a_cause_of_its_own() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 1_000, 1, &[DEADLY]);
     let retry = Crash {
         plan: RequestId(2),
@@ -213,7 +213,7 @@
 
 #[test]
 fn repeated_resets_of_one_upstream_have_one_cause() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     for attempt in 0..5 {
         let now = attempt * 1_000;
         let reset = Crash {
@@ -229,7 +229,7 @@
 
 #[test]
 fn a_restarted_upstream_can_crash_again() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[DEADLY]);
     let restarted = Crash {
         plan: RequestId(2),
@@ -245,7 +245,7 @@
 
 #[test]
 fn evidence_expires_without_further_crashes() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[DEADLY]);
     crash(&mut screening, 29_000, 2, &[DEADLY]);
     begin_trial(&mut screening, 58_000, 3, &[DEADLY]);
@@ -270,7 +270,12 @@
 fn the_number_of_parts_is_bounded_and_quarantines_outlast_single_crashes() {
     let mut screening = quarantined(DEADLY);
     for part in 0..5_000 {
-        crash(&mut screening, 3_000 + part, part, &[PartId(part)]);
+        crash(
+            &mut screening,
+            3_000 + part,
+            part,
+            &[CrashCause::Part(part)],
+        );
     }
     assert!(screening.len() <= 1_024, "{}", screening.len());
     retry_after(&mut screening, 9_000, DEADLY);
@@ -278,18 +283,18 @@
 
 #[test]
 fn a_limited_number_of_parts_of_a_request_is_screened() {
-    let mut screening = PartScreening::default();
-    let parts: Vec<_> = (0..100).map(PartId).collect();
+    let mut screening = CrashScreening::default();
+    let parts: Vec<_> = (0..100).map(CrashCause::Part).collect();
     crash(&mut screening, 0, 1, &parts);
-    assert_eq!(screening.len(), MAX_PARTS_PER_REQUEST);
+    assert_eq!(screening.len(), MAX_CAUSES_PER_REQUEST);
 }
 
 #[test_case(3, 10_000)]
 #[test_case(5, 40_000)]
 fn known_quarantines_are_not_learned_anew(crashes: u32, back_off: u64) {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     let quarantine = Quarantine {
-        part: DEADLY,
+        cause: DEADLY,
         crashes,
     };
     screening.set_quarantines(Timestamp(0), &[quarantine]);
@@ -297,7 +302,7 @@
     begin_trial(&mut screening, back_off, 1, &[DEADLY]);
     crash(&mut screening, back_off + 500, 1, &[DEADLY]);
     let quarantine = Quarantine {
-        part: DEADLY,
+        cause: DEADLY,
         crashes: crashes + 1,
     };
     assert_eq!(
@@ -312,7 +317,7 @@
     screening.set_quarantines(Timestamp(2_100), &[]);
     retry_after(&mut screening, 2_100, DEADLY);
     let quarantine = Quarantine {
-        part: DEADLY,
+        cause: DEADLY,
         crashes: 3,
     };
     screening.set_quarantines(Timestamp(2_200), &[quarantine]);
@@ -328,9 +333,9 @@
 
 #[test]
 fn an_outdated_list_does_not_restore_a_lifted_quarantine() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     let quarantine = |crashes| Quarantine {
-        part: DEADLY,
+        cause: DEADLY,
         crashes,
     };
     screening.set_quarantines(Timestamp(0), &[quarantine(3)]);
@@ -344,12 +349,12 @@
 
 #[test]
 fn a_listed_part_on_trial_stays_on_trial() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[DEADLY]);
     crash(&mut screening, 1_000, 2, &[DEADLY]);
     begin_trial(&mut screening, 1_100, 3, &[DEADLY]);
     let quarantine = Quarantine {
-        part: DEADLY,
+        cause: DEADLY,
         crashes: 3,
     };
     screening.set_quarantines(Timestamp(1_200), &[quarantine]);
@@ -359,7 +364,7 @@
 
 #[test]
 fn a_sound_part_is_not_held_back_with_the_deadly_part_of_other_requests() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[SOUND, DEADLY]);
     crash(&mut screening, 1_000, 2, &[SOUND, DEADLY]);
     begin_trial(&mut screening, 1_500, 3, &[SOUND, DEADLY]);
@@ -375,7 +380,7 @@
 
 #[test]
 fn a_deadly_part_is_tried_once_without_a_sound_part_of_the_same_crashes() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[SOUND, DEADLY]);
     crash(&mut screening, 1_000, 2, &[SOUND, DEADLY]);
     begin_trial(&mut screening, 1_500, 3, &[SOUND, DEADLY]);
@@ -388,7 +393,7 @@
 
 #[test]
 fn a_crashed_trial_counts_beside_other_crashes() {
-    let mut screening = PartScreening::default();
+    let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[DEADLY]);
     crash(&mut screening, 1_000, 2, &[DEADLY]);
     begin_trial(&mut screening, 1_050, 3, &[DEADLY]);
--- a/limpetkeel/tests/planner.rs
+++ b/limpetkeel/tests/planner.rs
@@ -210,7 +210,7 @@
             pool: request.pool.clone(),
             plan,
             size: request.size,
-            parts: request.parts.clone(),
+            causes: request.causes.clone(),
             objective: request.objective,
             remaining: request.remaining,
             response_begun: false,
--- a/limpetkeel/tests/planner_screening.rs
+++ b/limpetkeel/tests/planner_screening.rs
@@ -5,27 +5,27 @@
 mod pool;
 
 use limpetkeel::{
-    AttemptResult, Error, Millis, PartId, Plan, PlanRequest, PlanResult, Planner, ReportedPlan,
+    AttemptResult, CrashCause, Error, Millis, Plan, PlanRequest, PlanResult, Planner, ReportedPlan,
     Timestamp,
 };
 use test_case::test_case;
 
 /// A part that crashes upstreams.
-const DEADLY: PartId = PartId(0xdead);
+const DEADLY: CrashCause = CrashCause::Part(0xdead);
 
 /// A part that all requests share.
-const COMMON: PartId = PartId(1);
+const COMMON: CrashCause = CrashCause::Part(1);
 
 /// Returns a request with parts.
-fn request(id: u64, parts: &[PartId]) -> PlanRequest {
+fn request(id: u64, parts: &[CrashCause]) -> PlanRequest {
     PlanRequest {
-        parts: parts.to_vec(),
+        causes: parts.to_vec(),
         ..pool::plan_request(id, 1_000)
     }
 }
 
 /// Plans a request with parts.
-fn plan(planner: &mut Planner, now: u64, id: u64, parts: &[PartId]) -> Plan {
+fn plan(planner: &mut Planner, now: u64, id: u64, parts: &[CrashCause]) -> Plan {
     let planned = planner.plan(Timestamp(now), &request(id, parts));
     planned.expect("plan")
 }
@@ -48,7 +48,7 @@
 }
 
 /// Crashes three upstreams one second apart, so that the deadly part is quarantined.
-fn quarantine_deadly(planner: &mut Planner, parts: &[PartId]) {
+fn quarantine_deadly(planner: &mut Planner, parts: &[CrashCause]) {
     for number in 0..3 {
         let now = number * 1_000;
         let crashed = plan(planner, now, 1_000 + number, parts);
@@ -58,7 +58,7 @@
 }
 
 /// Returns `true` if a request with these parts is refused.
-fn is_held_back(planner: &mut Planner, now: u64, id: u64, parts: &[PartId]) -> bool {
+fn is_held_back(planner: &mut Planner, now: u64, id: u64, parts: &[CrashCause]) -> bool {
     let planned = planner.plan(Timestamp(now), &request(id, parts));
     matches!(planned, Err(Error::PartHeldBack { .. }))
 }
@@ -88,7 +88,7 @@
         report(&mut planner, now + 100, &planned, result);
     }
     assert!(!is_held_back(&mut planner, 18_000, 100, &[DEADLY]));
-    assert!(planner.take_part_decisions().is_empty());
+    assert!(planner.take_cause_decisions().is_empty());
 }
 
 #[test]
@@ -109,7 +109,7 @@
         };
         planner.record_result(Timestamp(now + 100), &plan_result);
     }
-    assert!(planner.take_part_decisions().is_empty());
+    assert!(planner.take_cause_decisions().is_empty());
 }
 
 #[test]
@@ -125,7 +125,7 @@
         planner.set_upstreams(10 + number, &others);
         report(&mut planner, now + 100, &planned, AttemptResult::Crashed);
     }
-    assert!(planner.take_part_decisions().is_empty());
+    assert!(planner.take_cause_decisions().is_empty());
 }
 
 #[test]
@@ -140,7 +140,7 @@
         planner.record_response_begun(Timestamp(now + 300), retry.id);
         report(&mut planner, now + 400, &retry, AttemptResult::Inconclusive);
     }
-    assert!(planner.take_part_decisions().is_empty());
+    assert!(planner.take_cause_decisions().is_empty());
 }
 
 #[test]
@@ -223,7 +223,7 @@
             pool: request.pool.clone(),
             plan: plan.clone(),
             size: request.size,
-            parts: request.parts.clone(),
+            causes: request.causes.clone(),
             objective: request.objective,
             remaining: request.remaining,
             response_begun: false,
@@ -242,3 +242,70 @@
     plan(&mut second_planner, 2_000, 10, &[DEADLY]);
     assert!(is_held_back(&mut second_planner, 2_000, 11, &[DEADLY]));
 }
+
+/// A request that crashes upstreams, and that comes again.
+const DEADLY_REQUEST: CrashCause = CrashCause::Request(0xdead);
+
+#[test]
+fn a_request_that_crashed_three_upstreams_is_rejected_while_its_part_is_served() {
+    let mut planner = pool::planner(9);
+    let sound = plan(&mut planner, 0, 1, &[CrashCause::Request(1), COMMON]);
+    planner.record_response_begun(Timestamp(10), sound.id);
+    quarantine_deadly(&mut planner, &[DEADLY_REQUEST, COMMON]);
+    for now in [2_500, 12_500, 32_500, 60_000] {
+        let planned = planner.plan(Timestamp(now), &request(now, &[DEADLY_REQUEST, COMMON]));
+        assert_eq!(planned.map(|_| ()), Err(Error::RequestQuarantined));
+        assert!(!is_held_back(
+            &mut planner,
+            now,
+            now + 1,
+            &[CrashCause::Request(now), COMMON]
+        ));
+    }
+}
+
+#[test]
+fn a_sound_request_that_waits_beside_a_deadly_one_is_cleared_by_its_trial() {
+    let mut planner = pool::planner(9);
+    let bystander = CrashCause::Request(7);
+    for number in 0..2 {
+        let now = number * 1_000;
+        let crashed = plan(&mut planner, now, number, &[bystander]);
+        report(&mut planner, now + 100, &crashed, AttemptResult::Crashed);
+        restart(&mut planner, 10 + number, &crashed, 9);
+    }
+    let trial = plan(&mut planner, 2_500, 3, &[bystander]);
+    planner.record_response_begun(Timestamp(2_550), trial.id);
+    for id in 4..8 {
+        plan(&mut planner, 2_600, id, &[bystander]);
+    }
+    assert!(planner.take_quarantine_updates().is_empty());
+}
+
+#[test]
+fn the_part_of_a_deadly_request_is_served_to_others_though_nobody_has_cleared_it() {
+    let mut planner = pool::planner(9);
+    quarantine_deadly(&mut planner, &[DEADLY_REQUEST, COMMON]);
+    assert_eq!(planner.take_quarantine_updates().len(), 1, "the request");
+    let trial = plan(&mut planner, 2_500, 1, &[CrashCause::Request(1), COMMON]);
+    planner.record_response_begun(Timestamp(2_550), trial.id);
+    for id in 2..5 {
+        plan(&mut planner, 2_600, id, &[CrashCause::Request(id), COMMON]);
+    }
+    let planned = planner.plan(Timestamp(2_600), &request(9, &[DEADLY_REQUEST, COMMON]));
+    assert_eq!(planned.map(|_| ()), Err(Error::RequestQuarantined));
+}
+
+#[test]
+fn a_deadly_part_is_quarantined_though_one_of_its_requests_came_again() {
+    let mut planner = pool::planner(9);
+    quarantine_deadly(&mut planner, &[DEADLY_REQUEST, DEADLY]);
+    let crashed = plan(&mut planner, 3_500, 1, &[CrashCause::Request(1), DEADLY]);
+    report(&mut planner, 3_600, &crashed, AttemptResult::Crashed);
+    assert!(is_held_back(
+        &mut planner,
+        4_000,
+        2,
+        &[CrashCause::Request(2), DEADLY]
+    ));
+}
--- a/limpetkeel/tests/quarantine_list.rs
+++ b/limpetkeel/tests/quarantine_list.rs
@@ -2,7 +2,7 @@
 //! store includes them.
 
 use limpetkeel::{
-    Era, MAX_LOCAL_UPDATES, MAX_QUARANTINES, Millis, PartId, QUARANTINE_LIFETIME, Quarantine,
+    CrashCause, Era, MAX_LOCAL_UPDATES, MAX_QUARANTINES, Millis, QUARANTINE_LIFETIME, Quarantine,
     QuarantineList, QuarantineListEntry, QuarantineUpdate, Revision, Timestamp,
 };
 
@@ -10,7 +10,7 @@
 
 fn quarantine(part: u64, crashes: u32) -> Quarantine {
     Quarantine {
-        part: PartId(part),
+        cause: CrashCause::Part(part),
         crashes,
     }
 }
@@ -27,12 +27,18 @@
 }
 
 fn lifted(part: u64) -> QuarantineUpdate {
-    QuarantineUpdate::Lifted(PartId(part))
+    QuarantineUpdate::Lifted(CrashCause::Part(part))
 }
 
 /// Returns the parts and their numbers of crashes, in the order of the parts.
 fn listed(list: &QuarantineList) -> Vec<(u64, u32)> {
-    let mut listed: Vec<_> = list.entries().map(|q| (q.part.0, q.crashes)).collect();
+    let mut listed: Vec<_> = list
+        .entries()
+        .map(|q| match q.cause {
+            CrashCause::Part(id) => (id, q.crashes),
+            CrashCause::Request(digest) => panic!("{digest}"),
+        })
+        .collect();
     listed.sort_unstable();
     listed
 }
@@ -44,9 +50,9 @@
     list.insert(entry(1, 3, 7));
     list.insert(entry(1, 2, 5));
     assert_eq!(listed(&list), [(1, 3)]);
-    list.remove(PartId(1), Revision::new(Era(1), 6));
+    list.remove(CrashCause::Part(1), Revision::new(Era(1), 6));
     assert_eq!(listed(&list), [(1, 3)], "the removal is older");
-    list.remove(PartId(1), Revision::new(Era(1), 8));
+    list.remove(CrashCause::Part(1), Revision::new(Era(1), 8));
     assert_eq!(listed(&list), []);
 }
 
@@ -73,7 +79,7 @@
     list.insert(entry(1, 2, 5));
     list.advance(Revision::new(Era(1), 5));
     list.replace(Timestamp(0), vec![entry(1, 2, 5)], Revision::new(Era(1), 6));
-    list.remove(PartId(2), Revision::new(Era(1), 7));
+    list.remove(CrashCause::Part(2), Revision::new(Era(1), 7));
     assert_eq!(list.generation(), published);
     list.insert(entry(1, 3, 8));
     assert!(list.generation() > published);
@@ -84,7 +90,7 @@
     let mut list = QuarantineList::default();
     list.publish(NOW, imposed(1, 3));
     list.insert(entry(1, 2, 4));
-    list.remove(PartId(1), Revision::new(Era(1), 5));
+    list.remove(CrashCause::Part(1), Revision::new(Era(1), 5));
     list.advance(Revision::new(Era(1), 5));
     assert_eq!(listed(&list), [(1, 3)]);
     list.record_written(imposed(1, 3), Revision::new(Era(1), 7));
@@ -93,7 +99,7 @@
     assert_eq!(listed(&list), [(1, 3)], "the write is at revision 7");
     list.insert(entry(1, 3, 7));
     list.advance(Revision::new(Era(1), 7));
-    list.remove(PartId(1), Revision::new(Era(1), 8));
+    list.remove(CrashCause::Part(1), Revision::new(Era(1), 8));
     list.advance(Revision::new(Era(1), 8));
     assert_eq!(listed(&list), [], "the removal is newer than the write");
 }
@@ -103,7 +109,7 @@
     let mut list = QuarantineList::default();
     list.insert(entry(1, 2, 4));
     list.publish(NOW, lifted(1));
-    list.remove(PartId(1), Revision::new(Era(1), 5));
+    list.remove(CrashCause::Part(1), Revision::new(Era(1), 5));
     list.insert(entry(1, 9, 6));
     list.advance(Revision::new(Era(1), 6));
     assert_eq!(listed(&list), [], "the write is outstanding");
@@ -176,13 +182,13 @@
         list.insert(entry(number, 2, number + 1));
     }
     assert_eq!(listed(&list).len(), MAX_QUARANTINES);
-    assert!(list.get(PartId(0)).is_none());
-    assert!(list.get(PartId(1_999)).is_some());
+    assert!(list.get(CrashCause::Part(0)).is_none());
+    assert!(list.get(CrashCause::Part(1_999)).is_some());
     for number in 10_000..12_000 {
         list.publish(NOW, imposed(number, 2));
     }
     assert_eq!(listed(&list).len(), MAX_QUARANTINES + MAX_LOCAL_UPDATES);
-    assert!(list.get(PartId(11_999)).is_some());
+    assert!(list.get(CrashCause::Part(11_999)).is_some());
 }
 
 /// Returns the entry of a part in the second era.
@@ -228,7 +234,7 @@
     assert_eq!(listed(&list), [(1, 2), (2, 2)]);
     assert_eq!(list.next_write(Timestamp(1)), None, "not its own");
     list.insert(restored_entry(1, 3, 51));
-    list.remove(PartId(1), Revision::new(Era(2), 52));
+    list.remove(CrashCause::Part(1), Revision::new(Era(2), 52));
     assert_eq!(listed(&list), [(2, 2)]);
     list.remove_expired(Timestamp(QUARANTINE_LIFETIME.0 + 1));
     assert_eq!(listed(&list), []);
@@ -240,7 +246,7 @@
     list.insert(entry(1, 2, 40));
     list.publish(Timestamp(0), lifted(1));
     list.record_written(lifted(1), Revision::new(Era(1), 45));
-    list.remove(PartId(1), Revision::new(Era(1), 45));
+    list.remove(CrashCause::Part(1), Revision::new(Era(1), 45));
     list.advance(Revision::new(Era(1), 47));
     list.replace(
         Timestamp(1),
@@ -258,7 +264,7 @@
     list.record_written(imposed(1, 2), Revision::new(Era(1), 45));
     list.insert(entry(1, 2, 45));
     list.advance(Revision::new(Era(1), 45));
-    list.remove(PartId(1), Revision::new(Era(1), 46));
+    list.remove(CrashCause::Part(1), Revision::new(Era(1), 46));
     list.advance(Revision::new(Era(1), 46));
     list.replace(Timestamp(1), Vec::new(), Revision::new(Era(2), 44));
     assert_eq!(listed(&list), []);
--- a/limpetkeel/tests/store_snapshot.rs
+++ b/limpetkeel/tests/store_snapshot.rs
@@ -2,7 +2,7 @@
 //! follower at any revision ends with the same entries.
 
 use limpetkeel::{
-    Contact, Era, IngressDeclaration, InstanceRegistry, Millicores, Millis, PartId, Quarantine,
+    Contact, CrashCause, Era, IngressDeclaration, InstanceRegistry, Millicores, Millis, Quarantine,
     QuarantineList, QuarantineListEntry, Removal, RequestLimits, Revision, StoreChange,
     StoreChangeLog, StoreChanges, StoreSnapshot, Timestamp, UpstreamRegistry,
     UpstreamRegistryEntry, UpstreamState,
@@ -215,9 +215,12 @@
 }
 
 fn quarantine(part: u64, crashes: u32, revision: u64) -> QuarantineListEntry {
-    let part = PartId(part);
+    let part = CrashCause::Part(part);
     QuarantineListEntry {
-        quarantine: Quarantine { part, crashes },
+        quarantine: Quarantine {
+            cause: part,
+            crashes,
+        },
         revision: Revision::new(Era(1), revision),
     }
 }
@@ -280,7 +283,10 @@
             let part = revision * 7 % 13;
             let change = match revision * 5 % 3 {
                 0 | 1 => StoreChange::Quarantine(quarantine(part, revision as u32, revision)),
-                _ => StoreChange::QuarantineRemoved(PartId(part), Revision::new(Era(1), revision)),
+                _ => StoreChange::QuarantineRemoved(
+                    CrashCause::Part(part),
+                    Revision::new(Era(1), revision),
+                ),
             };
             changes(revision, vec![change])
         })
@@ -316,7 +322,7 @@
             StoreChange::Quarantine(quarantine(1, 2, 6)),
             StoreChange::Quarantine(quarantine(2, 2, 7)),
             StoreChange::Quarantine(quarantine(1, 3, 8)),
-            StoreChange::QuarantineRemoved(PartId(2), Revision::new(Era(1), 9)),
+            StoreChange::QuarantineRemoved(CrashCause::Part(2), Revision::new(Era(1), 9)),
         ],
     );
     burst.remove_superseded();
--- a/limpetkeeld/src/relay/caller_request.rs
+++ b/limpetkeeld/src/relay/caller_request.rs
@@ -3,7 +3,8 @@
 use std::sync;
 
 use bytes::Bytes;
-use limpetkeel::{Admission, Millis, RequestId};
+use limpetkeel::{Admission, CrashCause, Millis, RequestId};
+use xxhash_rust::xxh3;
 
 use crate::relay::{port, shared};
 
@@ -25,6 +26,40 @@
     pub targets_engine: bool,
 }
 
+impl CallerRequest {
+    /// Returns what may crash the upstreams that run the request: the request itself, then the parts
+    /// of its prompt that others may share.
+    pub fn causes(&self) -> Vec<CrashCause> {
+        let mut causes = vec![self.own_cause()];
+        causes.extend(&self.head.parts);
+        causes
+    }
+
+    /// Returns the cause by which the request is recognized when it comes again, at any instance:
+    /// the digest of its method, path, caller, body and the part of the prompt that is its own.
+    pub fn own_cause(&self) -> CrashCause {
+        let own_part = self.head.own_part.map(|part| part.to_string());
+        let fields = [
+            self.parts.method.as_str().as_bytes(),
+            self.head.host.as_bytes(),
+            self.parts
+                .uri
+                .path_and_query()
+                .map_or("", |p| p.as_str())
+                .as_bytes(),
+            self.head.key.as_deref().unwrap_or_default().as_bytes(),
+            own_part.as_deref().unwrap_or_default().as_bytes(),
+            &self.body.bytes,
+        ];
+        let mut hasher = xxh3::Xxh3::new();
+        for field in fields {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        CrashCause::Request(hasher.digest())
+    }
+}
+
 /// A request body whose size counts against the instance's body budget until it is dropped.
 pub struct BufferedBody {
     shared: sync::Arc<shared::Shared>,
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -4,7 +4,7 @@
 use std::collections;
 
 use limpetkeel::{
-    Error, PartDecision, Plan, PlanRequest, PlanResult, Planner, PoolName, QuarantineUpdate,
+    CauseDecision, Error, Plan, PlanRequest, PlanResult, Planner, PoolName, QuarantineUpdate,
     ReportedPlan, RequestId, Timestamp,
 };
 
@@ -102,16 +102,16 @@
     );
 }
 
-/// What a planner has decided about parts of prompts.
+/// What a planner has decided about causes of crashes.
 struct Screened {
-    decisions: Vec<PartDecision>,
+    decisions: Vec<CauseDecision>,
     updates: Vec<QuarantineUpdate>,
 }
 
-/// Takes what a planner has decided about parts of prompts since the last call.
+/// Takes what a planner has decided about causes of crashes since the last call.
 fn take_screened(planner: &mut Planner) -> Screened {
     Screened {
-        decisions: planner.take_part_decisions(),
+        decisions: planner.take_cause_decisions(),
         updates: planner.take_quarantine_updates(),
     }
 }
@@ -127,9 +127,9 @@
         let relay = &shared.metrics.relay;
         relay.part_decisions.with_label_values(&[code]).inc();
         tracing::info!(
-            event = "part_screened",
+            event = "cause_screened",
             pool = %pool,
-            part = %format_args!("{:016x}", decision.part.0),
+            cause = %decision.cause,
             decision = code,
             crashes = decision.crashes,
         );
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -164,7 +164,7 @@
             pool: plan_request.pool.clone(),
             plan: plan.clone(),
             size: plan_request.size,
-            parts: plan_request.parts.clone(),
+            causes: plan_request.causes.clone(),
             objective: plan_request.objective,
             remaining: plan_request.remaining,
             response_begun: false,
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use limpetkeel::{
-    AnnouncedLimit, Contact, Era, Millis, PartId, Quarantine, RequestSize, Revision, StoreChange,
-    Tokens, UpstreamName, WorkspaceName,
+    AnnouncedLimit, Contact, CrashCause, Era, Millis, Quarantine, RequestSize, Revision,
+    StoreChange, Tokens, UpstreamName, WorkspaceName,
 };
 
 /// The decoded head of a caller's request.
@@ -26,7 +26,9 @@
     /// The size of a model request, in tokens.
     pub size: RequestSize,
     /// The parts of the prompt that other requests may share.
-    pub parts: Vec<PartId>,
+    pub parts: Vec<CrashCause>,
+    /// The last part of the prompt, which belongs to the request or its session.
+    pub own_part: Option<CrashCause>,
     /// The last event that the caller received on an earlier stream.
     pub resume_after: Option<u64>,
 }
@@ -260,7 +262,7 @@
     /// Ends a lease, which removes the instance from the store.
     fn unregister(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), StoreError>>;
 
-    /// Writes the entry of a quarantined part, which expires after `lifetime`. Returns the revision
+    /// Writes the entry of a quarantined cause, which expires after `lifetime`. Returns the revision
     /// of the write.
     fn quarantine(
         &self,
@@ -268,6 +270,6 @@
         lifetime: Millis,
     ) -> BoxFuture<'_, Result<Revision, StoreError>>;
 
-    /// Removes the entry of a part, if any. Returns the revision of the store after the removal.
-    fn lift_quarantine(&self, part: PartId) -> BoxFuture<'_, Result<Revision, StoreError>>;
+    /// Removes the entry of a cause, if any. Returns the revision of the store after the removal.
+    fn lift_quarantine(&self, cause: CrashCause) -> BoxFuture<'_, Result<Revision, StoreError>>;
 }
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -60,7 +60,7 @@
             pool: relayed.info().pool.clone(),
             availability_zone: shared.settings.availability_zone.clone(),
             size: request.head.size,
-            parts: request.head.parts.clone(),
+            causes: request.causes(),
             objective,
             remaining: relayed.deadline().since(now),
             waiting_id: request.waiting_id,
--- a/limpetkeeld/src/relay/quarantine.rs
+++ b/limpetkeeld/src/relay/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use limpetkeel::{PartId, QUARANTINE_LIFETIME, QuarantineUpdate, Revision};
+use limpetkeel::{QUARANTINE_LIFETIME, QuarantineUpdate, Revision};
 
 use crate::relay::{port, shared, store_watch};
 
@@ -66,8 +66,8 @@
             let written = shared.store.quarantine(quarantine, QUARANTINE_LIFETIME);
             store_watch::record_store_call(shared, "quarantine", written.await)
         }
-        QuarantineUpdate::Lifted(part) => {
-            let lifted = shared.store.lift_quarantine(part).await;
+        QuarantineUpdate::Lifted(cause) => {
+            let lifted = shared.store.lift_quarantine(cause).await;
             store_watch::record_store_call(shared, "lift_quarantine", lifted)
         }
     }
@@ -79,21 +79,19 @@
     update: QuarantineUpdate,
     written: Result<Revision, port::StoreError>,
 ) {
-    let (part, crashes) = match update {
-        QuarantineUpdate::Imposed(quarantine) => (quarantine.part, Some(quarantine.crashes)),
-        QuarantineUpdate::Lifted(part) => (part, None),
+    let (cause, crashes) = match update {
+        QuarantineUpdate::Imposed(quarantine) => (quarantine.cause, Some(quarantine.crashes)),
+        QuarantineUpdate::Lifted(cause) => (cause, None),
     };
-    let PartId(part) = part;
-    let part = format_args!("{part:016x}");
     let mut tables = shared.tables.lock();
     match written {
         Ok(revision) => {
             tables.quarantines.record_written(update, revision);
-            tracing::info!(event = "quarantine_published", %part, crashes, %revision);
+            tracing::info!(event = "quarantine_published", %cause, crashes, %revision);
         }
         Err(e) => {
             tables.quarantines.record_failed(update);
-            tracing::warn!(event = "quarantine_write_failed", %part, crashes, error = %e);
+            tracing::warn!(event = "quarantine_write_failed", %cause, crashes, error = %e);
         }
     }
 }
--- a/limpetkeeld/src/relay/request_summary.rs
+++ b/limpetkeeld/src/relay/request_summary.rs
@@ -21,6 +21,8 @@
         /// The time until a request with the part may be admitted.
         retry_after: Millis,
     },
+    /// Upstreams crashed on this request before, and it is not run again.
+    RequestQuarantined,
     /// The request would have waited too long for the capacity of upstreams.
     NoCapacity {
         /// The time until capacity is expected.
@@ -43,6 +45,7 @@
     pub fn from_refusal(refusal: &Error) -> FailureReason {
         match *refusal {
             Error::PartHeldBack { retry_after } => FailureReason::PartHeldBack { retry_after },
+            Error::RequestQuarantined => FailureReason::RequestQuarantined,
             Error::NoCapacity { retry_after } => FailureReason::NoCapacity { retry_after },
             _ => FailureReason::NoPlan,
         }
@@ -53,6 +56,7 @@
         match self {
             FailureReason::NoPlan => "no_plan",
             FailureReason::PartHeldBack { .. } => "part_held_back",
+            FailureReason::RequestQuarantined => "request_quarantined",
             FailureReason::NoCapacity { .. } => "no_capacity",
             FailureReason::Unreachable => "unreached",
             FailureReason::NoRetry(NoRetryReason::MayHaveRun) => "may_have_run",
@@ -182,6 +186,8 @@
             (false, FailureReason::NoCapacity { retry_after }) => {
                 port::Refusal::NotRun(retry_after.max(RETRY_AFTER))
             }
+            // A promise that the request did not run would invite the caller to repeat it.
+            (_, FailureReason::RequestQuarantined) => port::Refusal::Failed,
             (false, _) => {
                 let pool_pause = availability::pool_pause(shared, pool);
                 port::Refusal::NotRun(pool_pause.unwrap_or(RETRY_AFTER))
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -23,7 +23,7 @@
     pub ingress: Ingress,
     /// The upstream registry.
     pub upstreams: UpstreamRegistry,
-    /// The quarantined parts of prompts.
+    /// The quarantined causes of crashes.
     pub quarantines: QuarantineList,
     /// The revision up to which all changes have been applied.
     pub revision: Revision,
--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    Millis, PartId, QuarantineList, QuarantineListEntry, Removal, Revision, StoreChange,
+    CrashCause, Millis, QuarantineList, QuarantineListEntry, Removal, Revision, StoreChange,
     StoreChanges, StoreSnapshot, Timestamp,
 };
 
@@ -188,9 +188,9 @@
             log_listed(entry);
             tables.quarantines.insert(entry);
         }
-        StoreChange::QuarantineRemoved(part, revision) => {
-            log_unlisted(part);
-            tables.quarantines.remove(part, revision);
+        StoreChange::QuarantineRemoved(cause, revision) => {
+            log_unlisted(cause);
+            tables.quarantines.remove(cause, revision);
         }
         StoreChange::Unreadable(key) => record_unreadable(shared, &key),
     }
@@ -200,29 +200,29 @@
 fn log_quarantine_changes(known: &QuarantineList, entries: &[QuarantineListEntry]) {
     let mut unlisted: collections::BTreeMap<_, _> = known
         .stored_entries()
-        .map(|entry| (entry.quarantine.part, entry))
+        .map(|entry| (entry.quarantine.cause, entry))
         .collect();
     for entry in entries {
-        if unlisted.remove(&entry.quarantine.part) != Some(entry) {
+        if unlisted.remove(&entry.quarantine.cause) != Some(entry) {
             log_listed(*entry);
         }
     }
-    for part in unlisted.into_keys() {
-        log_unlisted(part);
+    for cause in unlisted.into_keys() {
+        log_unlisted(cause);
     }
 }
 
 fn log_listed(entry: QuarantineListEntry) {
     tracing::info!(
         event = "quarantine_listed",
-        part = %format_args!("{:016x}", entry.quarantine.part.0),
+        cause = %entry.quarantine.cause,
         crashes = entry.quarantine.crashes,
         revision = %entry.revision,
     );
 }
 
-fn log_unlisted(part: PartId) {
-    tracing::info!(event = "quarantine_unlisted", part = %format_args!("{:016x}", part.0));
+fn log_unlisted(cause: CrashCause) {
+    tracing::info!(event = "quarantine_unlisted", cause = %cause);
 }
 
 /// Counts and logs an entry that cannot be decoded.
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -44,6 +44,9 @@
     /// Closes the connection without a response to a request whose prompt has the given part, and
     /// runs other requests.
     CrashOnPart(u64),
+    /// Closes the connection without a response to a request with the given body, and runs other
+    /// requests.
+    CrashOnBody(&'static str),
     /// Runs the request and responds with bytes that are not HTTP.
     MalformedResponse,
     /// Runs the request and responds with the id of another request.
@@ -228,9 +231,12 @@
             Behavior::Scripted(script) => !script.declines(),
             _ => true,
         };
-        if let Behavior::CrashOnPart(part) = behavior
-            && request.has_part(part)
-        {
+        let crashes = match behavior {
+            Behavior::CrashOnPart(part) => request.has_part(part),
+            Behavior::CrashOnBody(body) => request.body == body.as_bytes(),
+            _ => false,
+        };
+        if crashes {
             self.state.lock().received.push(request);
             return Some(());
         }
@@ -373,6 +379,7 @@
         behavior,
         Behavior::Normal
             | Behavior::CrashOnPart(_)
+            | Behavior::CrashOnBody(_)
             | Behavior::Leaving
             | Behavior::Limited(_)
             | Behavior::CutAfter(_)
--- a/standins/tests/quarantine.rs
+++ b/standins/tests/quarantine.rs
@@ -5,7 +5,7 @@
 
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
-use limpetkeel::{Millis, PartId, Quarantine, QuarantineUpdate};
+use limpetkeel::{CrashCause, Millis, Quarantine, QuarantineUpdate};
 use limpetkeeld::{
     metrics,
     relay::{
@@ -21,16 +21,16 @@
 };
 use test_case::test_case;
 
-const PART: PartId = PartId(0xab1e);
+const PART: CrashCause = CrashCause::Part(0xab1e);
 
-fn key(part: PartId) -> String {
-    format!("{}{}", names::QUARANTINE_PREFIX, entry::encode_part(part))
+fn key(part: CrashCause) -> String {
+    format!("{}{}", names::QUARANTINE_PREFIX, entry::encode_cause(part))
 }
 
 /// Returns the number of times that the daemons have logged an event of a part.
-fn count(deployment: &Deployment, event: &str, part: PartId) -> usize {
+fn count(deployment: &Deployment, event: &str, part: CrashCause) -> usize {
     let event = format!("event={event} ");
-    let part = format!("part={}", entry::encode_part(part));
+    let part = format!("cause={}", entry::encode_cause(part));
     let log = deployment.log();
     log.lines()
         .filter(|line| line.contains(&event) && line.contains(&part))
@@ -38,7 +38,7 @@
 }
 
 /// Waits until the daemons have logged an event of a part so many times.
-async fn wait_for_count(deployment: &Deployment, event: &str, part: PartId, expected: usize) {
+async fn wait_for_count(deployment: &Deployment, event: &str, part: CrashCause, expected: usize) {
     daemon::wait_until("the daemons log the event", async || {
         count(deployment, event, part) >= expected
     })
@@ -51,7 +51,7 @@
 async fn a_quarantine_reaches_all_daemons_and_outlasts_their_restart() {
     let mut deployment = Deployment::start(3, 1).await.expect("deployment");
     let quarantine = Quarantine {
-        part: PART,
+        cause: PART,
         crashes: 2,
     };
     let value = entry::encode_quarantine(&quarantine).expect("entry");
@@ -67,8 +67,8 @@
 async fn unreadable_quarantines_disturb_no_other_entry() {
     let deployment = Deployment::start(1, 1).await.expect("deployment");
     let unreadable = [
-        (key(PartId(1)), b"\xff".as_slice()),
-        (key(PartId(2)), b"{\"crashes\": \"many\"}"),
+        (key(CrashCause::Part(1)), b"\xff".as_slice()),
+        (key(CrashCause::Part(2)), b"{\"crashes\": \"many\"}"),
         (
             format!("{}ab1e", names::QUARANTINE_PREFIX),
             b"{\"crashes\": 2}",
@@ -92,8 +92,11 @@
     Client::new(store, net::Ipv4Addr::LOCALHOST.into()).expect("client")
 }
 
-fn imposed(part: PartId, crashes: u32) -> Quarantine {
-    Quarantine { part, crashes }
+fn imposed(part: CrashCause, crashes: u32) -> Quarantine {
+    Quarantine {
+        cause: part,
+        crashes,
+    }
 }
 
 /// The lifetime of a quarantine that does not expire during a test.
@@ -120,7 +123,7 @@
         let written = client.quarantine(imposed(PART, 2), lifetime).await;
         written.expect("written");
     }
-    let other = PartId(1);
+    let other = CrashCause::Part(1);
     let written = client.quarantine(imposed(other, 2), Millis(300)).await;
     written.expect("written");
     daemon::wait_until("the quarantine of the other part expires", async || {
@@ -249,7 +252,7 @@
     let store = Store::start(1).await.expect("store");
     store.set_response_mode(mode);
     let shared = start_writer(&store);
-    let lifted = PartId(1);
+    let lifted = CrashCause::Part(1);
     quarantine::publish(&shared, QuarantineUpdate::Imposed(imposed(lifted, 2)));
     quarantine::publish(&shared, QuarantineUpdate::Imposed(imposed(PART, 2)));
     daemon::wait_until("a write fails", async || store.call_count() > 0)
--- a/standins/tests/restored_store.rs
+++ b/standins/tests/restored_store.rs
@@ -165,7 +165,7 @@
     .expect("client");
     for part in 1..4 {
         let quarantine = Quarantine {
-            part: limpetkeel::PartId(part),
+            cause: limpetkeel::CrashCause::Part(part),
             crashes: 2,
         };
         let written = client.quarantine(quarantine, Millis(60_000)).await;
@@ -219,7 +219,7 @@
     let lost = client.watch(before).await.map(|update| update.revision);
     assert_eq!(lost, Err(StoreError::HistoryLost), "it has gone ahead");
     let quarantine = Quarantine {
-        part: limpetkeel::PartId(1),
+        cause: limpetkeel::CrashCause::Part(1),
         crashes: 2,
     };
     let written = client.quarantine(quarantine, Millis(60_000)).await;
