--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -80,14 +80,12 @@
     let begins_era =
         tables.revision != Revision::default() && tables.revision.era() < snapshot.revision.era();
     if begins_era {
-        tables.doubtful_until = tables.doubtful_until.max(now.after(DOUBTFUL_PERIOD));
+        tables.doubtful_until = now.after(DOUBTFUL_PERIOD);
         tracing::warn!(
             event = "store_restored",
             known = %tables.revision,
             revision = %snapshot.revision,
         );
-    }
-    if tables.revision.era() < snapshot.revision.era() {
         shared.era_changed.notify_one();
     }
     for key in &snapshot.unreadable {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -9,6 +9,7 @@
 //! | `GET /instances` | the instance list, delayed by the list lag |
 //! | `PUT`, `DELETE /instances/{name}` | adds, replaces or removes an entry of the instance list |
 //! | `POST /weights` `{bytes}` | reads from the weight store; 204, or 429 above the rate limit |
+//! | `PUT /copy`, `PUT /restore` | copies the key-value store; goes back to the copy. Responses of the store and the instance list have the number of times as `store-era` |
 //! | `GET /calls` | the number of calls, by kind |
 //! | `PUT /fault`, `PUT /list-fault` | inject a fault into the key-value store and the acquisition of leases, or into the instance list |
 
@@ -108,12 +109,20 @@
                 .delete(DeleteInstance(platform.clone())),
         )
         .push(path("weights").post(ReadWeights(platform.clone())))
+        .push(path("copy").put(CopyStore(platform.clone())))
+        .push(path("restore").put(RestoreStore(platform.clone())))
         .push(path("calls").get(ReadCalls(platform.clone())))
         .push(path("fault").put(SetStoreFault(platform.clone())))
         .push(path("list-fault").put(SetListFault(platform)))
 }
 
 impl Platform {
+    /// Adds the era of the store to a response.
+    fn add_era(&self, res: &mut salvo::Response) {
+        let era = http::HeaderValue::from(self.store.era());
+        res.headers_mut().insert("store-era", era);
+    }
+
     /// Returns `true` if the rate limit admits a call. If not, counts the refusal and sets status
     /// 429.
     fn admit(&self, limiter: &rate::RateLimiter, res: &mut salvo::Response) -> bool {
@@ -151,6 +160,7 @@
             Err(status) => return http_server::send_status(res, status),
         };
         let entry = platform.store.read(&key, after.unwrap_or(0), wait).await;
+        platform.add_era(res);
         if deferred_fault.is_some() {
             return fault::drop_response(res);
         }
@@ -183,6 +193,7 @@
             Err(status) => return http_server::send_status(res, status),
         };
         let result = platform.store.write(&key, body.expect, body.value);
+        platform.add_era(res);
         if deferred_fault.is_some() {
             return fault::drop_response(res);
         }
@@ -265,6 +276,7 @@
         if !platform.admit(&platform.read_limit, res) {
             return;
         }
+        platform.add_era(res);
         match platform.list_faults.apply_before_work().await {
             Ok(None) => {
                 http_server::send_json(res, http::StatusCode::OK, &platform.instances.read())
@@ -322,6 +334,26 @@
     }
 }
 
+struct CopyStore(sync::Arc<Platform>);
+
+#[salvo::handler]
+impl CopyStore {
+    async fn handle(&self, res: &mut salvo::Response) {
+        self.0.store.copy();
+        res.status_code(http::StatusCode::NO_CONTENT);
+    }
+}
+
+struct RestoreStore(sync::Arc<Platform>);
+
+#[salvo::handler]
+impl RestoreStore {
+    async fn handle(&self, res: &mut salvo::Response) {
+        self.0.store.restore();
+        res.status_code(http::StatusCode::NO_CONTENT);
+    }
+}
+
 struct ReadCalls(sync::Arc<Platform>);
 
 #[salvo::handler]
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -29,10 +29,19 @@
     TooLarge,
 }
 
-/// All entries, by key.
+/// All entries, by key, and what they go back to.
+#[derive(Default)]
+struct Contents {
+    entries: collections::BTreeMap<String, Entry>,
+    copy: collections::BTreeMap<String, Entry>,
+    /// The number of times that the entries were restored.
+    era: u64,
+}
+
+/// The store.
 #[derive(Default)]
 pub struct Store {
-    entries: parking_lot::Mutex<collections::BTreeMap<String, Entry>>,
+    contents: parking_lot::Mutex<Contents>,
     /// Notified after every write.
     changed: sync::Notify,
 }
@@ -43,7 +52,8 @@
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            let entry = self.entries.lock().get(key).cloned().unwrap_or_default();
+            let entry = self.contents.lock().entries.get(key).cloned();
+            let entry = entry.unwrap_or_default();
             if entry.version > after || wait.is_zero() {
                 return entry;
             }
@@ -67,16 +77,36 @@
         if value.len() > MAX_VALUE_BYTES {
             return Err(WriteError::TooLarge);
         }
-        let mut entries = self.entries.lock();
-        let entry = entries.entry(key.to_owned()).or_default();
+        let mut contents = self.contents.lock();
+        let entry = contents.entries.entry(key.to_owned()).or_default();
         if entry.version != expected_version {
             return Err(WriteError::Conflict(entry.version));
         }
         entry.version += 1;
         entry.value = Some(value);
         let version = entry.version;
-        drop(entries);
+        drop(contents);
         self.changed.notify_waiters();
         Ok(version)
     }
+
+    /// Returns the era, which increases each time the store goes back to the copy.
+    pub fn era(&self) -> u64 {
+        self.contents.lock().era
+    }
+
+    /// Copies the entries.
+    pub fn copy(&self) {
+        let mut contents = self.contents.lock();
+        contents.copy = contents.entries.clone();
+    }
+
+    /// Goes back to the copy, in the next era.
+    pub fn restore(&self) {
+        let mut contents = self.contents.lock();
+        contents.entries = contents.copy.clone();
+        contents.era += 1;
+        drop(contents);
+        self.changed.notify_waiters();
+    }
 }
