Take repeated crashes of one upstream process for a fault of its own

The request was then rejected though another upstream served it.

Change: a crash of a process that has crashed under the cause before is no evidence, not even in a trial, which then ends without a result. A process that a request really crashes has another start time afterwards.

--- a/limpetkeel/src/crash_screening/screened_cause.rs
+++ b/limpetkeel/src/crash_screening/screened_cause.rs
@@ -65,11 +65,9 @@
         }
     }
 
-    /// Returns `true` if a crash has the same cause as an earlier one.
-    fn has_cause_of(&self, now: unit::Timestamp, crash: &Crash) -> bool {
-        let at_once =
-            crash.planned_at < self.last_crash && now.since(self.last_crash) < CRASH_SEPARATION;
-        at_once || self.upstreams.contains(&crash.upstream)
+    /// Returns `true` if a crash is of the same moment as the last one.
+    fn is_at_once(&self, now: unit::Timestamp, crash: &Crash) -> bool {
+        crash.planned_at < self.last_crash && now.since(self.last_crash) < CRASH_SEPARATION
     }
 
     /// Counts a crash.
@@ -361,11 +359,15 @@
         }
     }
 
-    /// Records that an upstream crashed under a plan. A crash with the cause of an earlier one counts
-    /// only if the plan is the trial of the cause.
+    /// Records that an upstream crashed under a plan. A crash of the same moment as the last one counts
+    /// only if the plan is the trial of the cause. A process that has crashed before and still responds
+    /// to connections may itself be at fault, so that it is no further evidence.
     pub(super) fn record_crash(mut self, now: unit::Timestamp, crash: &Crash) -> ScreenedCause {
         let plan = crash.plan;
-        if self.evidence().has_cause_of(now, crash) && !self.is_trial(plan) {
+        if self.evidence().upstreams.contains(&crash.upstream) {
+            return self.end_trial(plan);
+        }
+        if self.evidence().is_at_once(now, crash) && !self.is_trial(plan) {
             return self;
         }
         let evidence = match &mut self {
--- a/limpetkeel/tests/planner_screening.rs
+++ b/limpetkeel/tests/planner_screening.rs
@@ -309,3 +309,15 @@
         &[CrashCause::Request(2), DEADLY]
     ));
 }
+
+#[test]
+fn a_faulty_upstream_alone_quarantines_no_request() {
+    let mut planner = pool::planner(2);
+    let causes = [CrashCause::Request(7), COMMON];
+    for number in 0..12 {
+        let now = number * 1_000;
+        let crashed = plan(&mut planner, now, number, &causes);
+        report(&mut planner, now + 100, &crashed, AttemptResult::Crashed);
+    }
+    assert!(planner.take_quarantine_updates().is_empty());
+}
