Write lost quarantines again at once; split files that grew

The task that writes quarantines waits for a notification, so that one that the store has lost was queued again but not written before the next quarantine; a write that was acknowledged with the number of the former era kept its precedence and was never repeated. Change: the task is notified at a change of era; such a write remains queued. Moved without a change: requests to peers (relay::peer_fallback), the contents of the store stand-in, and the fixture of two test files.

--- a/limpetkeel/src/crash_screening.rs
+++ b/limpetkeel/src/crash_screening.rs
@@ -1,4 +1,4 @@
-//! Screens the causes of crashes for those that crash upstreams.
+//! Screens possible causes of crashes: parts of prompts, and requests that come again.
 //!
 //! A crash is evidence against every cause of its request, since the cause cannot be seen from
 //! outside. A response that begins clears all causes of its request. What remains are the causes that
--- a/limpetkeel/src/crash_screening/screened_cause.rs
+++ b/limpetkeel/src/crash_screening/screened_cause.rs
@@ -13,7 +13,7 @@
 };
 
 /// The number of crashes that make a cause suspected. A single crash happens to every cause of a
-/// prompt whose upstream is killed.
+/// request whose upstream is killed.
 const SUSPECTED_CRASHES: u32 = 2;
 
 /// Crashes within this time of a counted one have the same cause, such as the loss of a zone, unless
--- a/limpetkeel/src/planner/screening.rs
+++ b/limpetkeel/src/planner/screening.rs
@@ -1,4 +1,4 @@
-//! Screening of requests by the causes: evidence from results, and trials.
+//! Screening of requests by possible causes of crashes: evidence from results, and trials.
 
 use crate::{crash_cause, crash_screening, error, plan, planner, unit};
 
@@ -39,7 +39,7 @@
         self.screening.take_decisions()
     }
 
-    /// Checks whether a request may be planned, in view of the causes.
+    /// Checks whether a request may be planned, in view of its causes.
     pub(super) fn screen(
         &mut self,
         now: unit::Timestamp,
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Evaluates the result of an attempt as evidence about the causes.
+    /// Evaluates the result of an attempt as evidence about its causes.
     ///
     /// The crash of an upstream that was draining or restarted says nothing. The causes of a
     /// response in progress are sound.
--- a/limpetkeel/src/quarantine_list.rs
+++ b/limpetkeel/src/quarantine_list.rs
@@ -291,7 +291,8 @@
 
     /// Records that an update was written at a revision.
     ///
-    /// An update that has been replaced since remains queued.
+    /// An update that has been replaced since remains queued, and so does one that was written in an
+    /// era that has ended.
     pub fn record_written(
         &mut self,
         update: crash_cause::QuarantineUpdate,
@@ -299,6 +300,7 @@
     ) {
         if let Some(local) = self.local.get_mut(&cause_of(update))
             && local.update == update
+            && revision.era() >= self.revision.era()
         {
             local.progress = Progress::Written(revision);
         }
--- a/limpetkeel/tests/quarantine_list.rs
+++ b/limpetkeel/tests/quarantine_list.rs
@@ -270,3 +270,15 @@
     assert_eq!(listed(&list), []);
     assert_eq!(list.next_write(Timestamp(2)), None);
 }
+
+#[test]
+fn a_write_that_is_acknowledged_after_its_era_has_ended_is_repeated() {
+    let mut list = QuarantineList::default();
+    list.replace(Timestamp(0), Vec::new(), Revision::new(Era(1), 45));
+    list.publish(Timestamp(0), imposed(1, 2));
+    list.replace(Timestamp(1), Vec::new(), Revision::new(Era(2), 40));
+    list.record_written(imposed(1, 2), Revision::new(Era(1), 46));
+    assert_eq!(list.next_write(Timestamp(2)), Some(imposed(1, 2)));
+    list.record_written(imposed(1, 2), Revision::new(Era(2), 41));
+    assert_eq!(list.next_write(Timestamp(3)), None);
+}
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -28,7 +28,7 @@
     pub plan_seconds: prometheus::Histogram,
     /// Seconds from arrival to the first response byte, by response form and priority.
     pub first_byte_seconds: prometheus::HistogramVec,
-    /// Decisions about parts of prompts, by kind.
+    /// Decisions about causes of crashes, by kind.
     pub part_decisions: prometheus::IntCounterVec,
     /// Store calls, by kind and result.
     pub store_calls: prometheus::IntCounterVec,
@@ -105,7 +105,7 @@
             ))?,
             part_decisions: registrar.counter_vec(
                 "limpetkeel_relay_part_decisions_total",
-                "Decisions about parts of prompts that may crash upstreams, by kind.",
+                "Decisions about parts of prompts and requests that may crash upstreams, by kind.",
                 &["decision"],
             )?,
             store_calls: registrar.counter_vec(
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -8,8 +8,8 @@
 //! [`stream`] forwards an event stream to the caller through [`response_writer`].
 //! [`request_summary`] logs the result.
 //!
-//! [`store_watch`] receives table changes from the store, a watcher or a peer, [`store_updates`]
-//! applies them, [`quarantine`] writes the quarantines of the local planners to the store, and
+//! [`store_watch`] receives table changes from the store or a watcher, [`peer_fallback`] requests
+//! them from peers, [`store_updates`] applies them, [`quarantine`] writes the quarantines of the local planners to the store, and
 //! [`register`] keeps the local instance registered there. [`reload`] rereads the settings, and
 //! [`drain`] shuts the instance down.
 //!
@@ -27,6 +27,7 @@
 pub mod front;
 pub mod jobs;
 pub mod local_planner;
+pub mod peer_fallback;
 pub mod peer_handler;
 pub mod planning;
 pub mod port;
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -11,8 +11,8 @@
 use crate::{
     listener, metrics, peer,
     relay::{
-        body, drain, front, jobs, peer_handler, planning, port, quarantine, register, reload,
-        settings, shared, store_watch, worker,
+        body, drain, front, jobs, peer_fallback, peer_handler, planning, port, quarantine,
+        register, reload, settings, shared, store_watch, worker,
     },
 };
 
@@ -86,7 +86,7 @@
         sync::Arc::new(peer_handler::PeerHandler::new(&shared)),
     ));
     tokio::spawn(store_watch::run(shared.clone()));
-    tokio::spawn(store_watch::run_peer_fallback(shared.clone()));
+    tokio::spawn(peer_fallback::run(shared.clone()));
     tokio::spawn(store_watch::run_expiry(shared.clone()));
     tokio::spawn(planning::run_reassignments(shared.clone()));
     tokio::spawn(quarantine::run(shared.clone()));
--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -87,6 +87,8 @@
             revision = %snapshot.revision,
         );
         shared.era_changed.notify_one();
+        // What the store has lost is queued again.
+        shared.quarantine_queued.notify_one();
     }
     for key in &snapshot.unreadable {
         record_unreadable(shared, key);
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -3,8 +3,8 @@
 //! Two instances in each availability zone watch the store and the others follow one of these
 //! watchers, so that the number of store calls per change does not grow with the number of
 //! instances. An instance whose watchers fail follows the store directly;
-//! [`limpetkeel::StoreFollower`] decides when. While the store does not respond either, it requests
-//! snapshots from peers.
+//! [`limpetkeel::StoreFollower`] decides when. While the store does not respond either,
+//! [`peer_fallback`](crate::relay::peer_fallback) requests snapshots from peers.
 
 use std::{sync, time};
 
@@ -32,15 +32,8 @@
 /// reconnect at the same time.
 const RETRY_JITTER_MS: u64 = 150;
 
-/// Interval between snapshot requests to peers while the store is unreachable. Several requests fit
-/// into the bound for a change to take effect. [`run_expiry`] uses the same interval.
-const PEER_INTERVAL: time::Duration = time::Duration::from_millis(300);
-
-/// Number of peers whose tables an instance that starts compares with its own, until one responds.
-const MAX_COMPARISONS: u32 = 10;
-
-/// Timeout of a snapshot request to a peer.
-const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// Interval between removals of doubtful entries: a fraction of the time for which they are kept.
+const EXPIRY_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
 /// The reason for a failure to receive changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -336,78 +329,10 @@
     }
 }
 
-/// Requests snapshots from peers while the store is unreachable or before the first routing table
-/// arrives, until the process ends.
-///
-/// One more response is requested then, since a store that was restored from an older copy may hold
-/// an older table than the peers.
-pub async fn run_peer_fallback(shared: sync::Arc<shared::Shared>) {
-    let mut comparisons = MAX_COMPARISONS;
-    loop {
-        tokio::time::sleep(PEER_INTERVAL).await;
-        let (needs_snapshot, known) = {
-            let tables = shared.tables.lock();
-            let starting = tables.ingress.version() == 0;
-            (
-                tables.disconnected_since.is_some() || starting,
-                store_updates::known_tables(&tables),
-            )
-        };
-        if needs_snapshot {
-            request_snapshot(&shared, known).await;
-        } else if comparisons > 0 {
-            comparisons -= 1;
-            if request_snapshot(&shared, known).await {
-                comparisons = 0;
-            }
-        }
-    }
-}
-
-/// Requests a newer snapshot from a random peer, or from a seed if no peer is known. Returns `true`
-/// if it responds.
-async fn request_snapshot(shared: &sync::Arc<shared::Shared>, known: message::KnownTables) -> bool {
-    let now = shared.clock.now();
-    let peer = shared
-        .membership
-        .lock()
-        .instances
-        .random_peer(now, rand::random());
-    let address = match &peer {
-        Some(peer) => peer.address,
-        None => {
-            let seeds = &shared.settings.seeds;
-            let Some(seed) = seeds.get(rand::random_range(0..seeds.len().max(1))) else {
-                return false;
-            };
-            *seed
-        }
-    };
-    let req = message::Request::FetchSnapshot(known);
-    match shared.peers.call(address, &req, PEER_TIMEOUT).await {
-        Ok(message::Response::Snapshot(Some(snapshot))) => {
-            let update = jobs::TableUpdate::Snapshot(snapshot, jobs::SnapshotSource::Peer);
-            shared.jobs.update_tables(update).await;
-            true
-        }
-        Ok(_) => true,
-        Err(_) => {
-            if let Some(peer) = peer {
-                shared
-                    .membership
-                    .lock()
-                    .instances
-                    .record_failure(now, &peer.name);
-            }
-            false
-        }
-    }
-}
-
 /// Periodically removes doubtful entries that have not returned, until the process ends.
 pub async fn run_expiry(shared: sync::Arc<shared::Shared>) {
     loop {
-        tokio::time::sleep(PEER_INTERVAL).await;
+        tokio::time::sleep(EXPIRY_INTERVAL).await;
         let now = shared.clock.now();
         let mut tables = shared.tables.lock();
         tables.upstreams.remove_expired(now);
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -294,6 +294,32 @@
         Ok(())
     }
 
+    /// Waits until all daemons know each other, so that one of them plans all requests.
+    ///
+    /// A table that is published after they are registered comes after their entries in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemons do not know each other in time.
+    pub async fn wait_for_common_planner(&self) -> deployment::Result<()> {
+        wait_until("all daemons are registered", async || {
+            self.log().matches("event=registered").count() == self.daemons.len()
+        })
+        .await?;
+        self.publish_table(&Table {
+            version: 2,
+            extra_routes: vec!["new".to_owned()],
+            ..Table::default()
+        })?;
+        wait_until("the table is in force", async || {
+            let daemons = 0..self.daemons.len();
+            let statuses = daemons.map(|index| self.get_status(index, "/new/x"));
+            let statuses = futures_util::future::join_all(statuses).await;
+            statuses.iter().all(|status| *status == 200)
+        })
+        .await
+    }
+
     /// Builds a caller's request with a request id, the default API key and a deadline.
     pub fn request(
         &self,
--- a/standins/src/deployment/store.rs
+++ b/standins/src/deployment/store.rs
@@ -1,5 +1,7 @@
 //! A stand-in for the platform's store, with revisions, watches, transactions and leases.
 
+mod contents;
+
 use std::{collections, net, sync, time};
 
 use base64::Engine as _;
@@ -11,6 +13,8 @@
 
 use crate::deployment;
 
+pub use contents::Contents;
+
 /// The behavior of the store towards calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -33,25 +37,6 @@
     Malformed,
 }
 
-#[derive(Clone, Debug)]
-struct Lease {
-    expires_at: time::Instant,
-    ttl: time::Duration,
-}
-
-/// A copy of what the store loses when it is restored from it.
-#[derive(Clone, Debug)]
-pub struct Contents {
-    items: collections::BTreeMap<String, wire::Item>,
-    /// The changes after `compacted_revision`, oldest first.
-    history: Vec<wire::Item>,
-    /// The history does not contain changes up to this revision.
-    compacted_revision: u64,
-    revision: u64,
-    leases: collections::BTreeMap<u64, Lease>,
-    next_lease: u64,
-}
-
 /// The contents of the store and how it behaves.
 #[derive(Debug)]
 struct State {
@@ -69,64 +54,6 @@
     malformed_items: Vec<Box<serde_json::value::RawValue>>,
 }
 
-impl Contents {
-    fn write(&mut self, key: &str, value: String, lease: u64) {
-        self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |i| i.create_rev);
-        let item = wire::Item {
-            key: key.to_owned(),
-            value: Some(value),
-            revision: self.revision,
-            create_rev: created,
-            lease,
-            deleted: false,
-        };
-        self.items.insert(key.to_owned(), item.clone());
-        self.history.push(item);
-    }
-
-    fn delete(&mut self, key: &str) {
-        if self.items.remove(key).is_none() {
-            return;
-        }
-        self.revision += 1;
-        self.history.push(wire::Item {
-            key: key.to_owned(),
-            revision: self.revision,
-            deleted: true,
-            ..wire::Item::default()
-        });
-    }
-
-    /// Revokes a lease and deletes its items. Returns `false` if the lease does not exist.
-    fn revoke_lease(&mut self, id: u64) -> bool {
-        let existed = self.leases.remove(&id).is_some();
-        let keys: Vec<_> = self
-            .items
-            .values()
-            .filter(|item| item.lease == id)
-            .map(|item| item.key.clone())
-            .collect();
-        for key in keys {
-            self.delete(&key);
-        }
-        existed
-    }
-
-    fn revoke_expired_leases(&mut self) {
-        let now = time::Instant::now();
-        let expired: Vec<_> = self
-            .leases
-            .iter()
-            .filter(|(_, lease)| lease.expires_at <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in expired {
-            self.revoke_lease(id);
-        }
-    }
-}
-
 /// The store. It listens on one address for each instance, so that its behavior can differ between
 /// instances.
 #[derive(Clone)]
@@ -162,16 +89,8 @@
             .iter()
             .map(|listener| listener.local_addr())
             .collect();
-        let contents = Contents {
-            items: collections::BTreeMap::new(),
-            history: Vec::new(),
-            compacted_revision: 0,
-            revision: 1,
-            leases: collections::BTreeMap::new(),
-            next_lease: 1,
-        };
         let state = State {
-            contents,
+            contents: Contents::default(),
             era: 1,
             era_header: EraHeader::Sent,
             response_modes: vec![ResponseMode::Normal; address_count],
@@ -435,8 +354,7 @@
         if !unchanged {
             return status_response(412);
         }
-        let lease_missing =
-            |put: &wire::Put| put.lease != 0 && !contents.leases.contains_key(&put.lease);
+        let lease_missing = |put: &wire::Put| put.lease != 0 && !contents.has_lease(put.lease);
         if transaction.puts.iter().any(lease_missing) {
             return status_response(404);
         }
@@ -456,13 +374,8 @@
         let Ok(request) = serde_json::from_slice::<wire::LeaseRequest>(body) else {
             return status_response(400);
         };
-        let mut state = self.state.lock();
-        let contents = &mut state.contents;
-        let id = contents.next_lease;
-        contents.next_lease += 1;
         let ttl = time::Duration::from_millis(request.ttl_ms);
-        let expires_at = time::Instant::now() + ttl;
-        contents.leases.insert(id, Lease { expires_at, ttl });
+        let id = self.state.lock().contents.grant_lease(ttl);
         json_response(&wire::LeaseResponse {
             lease: id,
             ttl_ms: request.ttl_ms,
@@ -470,12 +383,8 @@
     }
 
     fn renew_lease(&self, id: u64) -> Response {
-        let mut state = self.state.lock();
-        let Some(lease) = state.contents.leases.get_mut(&id) else {
-            return status_response(404);
-        };
-        lease.expires_at = time::Instant::now() + lease.ttl;
-        status_response(200)
+        let renewed = self.state.lock().contents.renew_lease(id);
+        status_response(if renewed { 200 } else { 404 })
     }
 }
 
--- a/standins/tests/deadly_request.rs
+++ b/standins/tests/deadly_request.rs
@@ -5,7 +5,6 @@
 use platform::names;
 use standins::deployment::{
     daemon::{self, CallerResponse, Deployment},
-    table::Table,
     upstream::{self, Behavior},
 };
 use test_case::test_case;
@@ -37,27 +36,6 @@
     deployment.send(req).await.expect("response")
 }
 
-/// Waits until both daemons know both, so that one of them plans all requests.
-async fn wait_for_common_planner(deployment: &Deployment) {
-    daemon::wait_until("both daemons are registered", async || {
-        deployment.log().matches("event=registered").count() == 2
-    })
-    .await
-    .expect("registered");
-    let table = Table {
-        version: 2,
-        extra_routes: vec!["new".to_owned()],
-        ..Table::default()
-    };
-    deployment.publish_table(&table).expect("table");
-    daemon::wait_until("the table is in force", async || {
-        let statuses = [0, 1].map(|index| deployment.get_status(index, "/new/x"));
-        futures_util::future::join_all(statuses).await == [200, 200]
-    })
-    .await
-    .expect("in force");
-}
-
 /// Returns the number of times that the deadly request has reached an upstream.
 fn count_deadly_sends(deployment: &Deployment) -> usize {
     let received = deployment
@@ -75,7 +53,10 @@
 #[tokio::test]
 async fn a_request_that_crashes_upstreams_does_not_reach_one_after_the_other(path: &str) {
     let deployment = Deployment::start(2, UPSTREAMS).await.expect("deployment");
-    wait_for_common_planner(&deployment).await;
+    deployment
+        .wait_for_common_planner()
+        .await
+        .expect("common planner");
     deployment.set_behavior(Behavior::CrashOnBody(DEADLY_BODY));
     let mut statuses = Vec::new();
     for number in 0..12 {
@@ -102,7 +83,10 @@
 #[tokio::test]
 async fn a_restart_of_all_daemons_does_not_forget_a_request_that_crashes_upstreams() {
     let mut deployment = Deployment::start(2, UPSTREAMS).await.expect("deployment");
-    wait_for_common_planner(&deployment).await;
+    deployment
+        .wait_for_common_planner()
+        .await
+        .expect("common planner");
     deployment.set_behavior(Behavior::CrashOnBody(DEADLY_BODY));
     for number in 0..4 {
         send(&deployment, number % 2, "/stream/x", DEADLY_BODY).await;
--- a/standins/tests/prompt_parts.rs
+++ b/standins/tests/prompt_parts.rs
@@ -5,7 +5,6 @@
 use platform::names;
 use standins::deployment::{
     daemon::{self, CallerResponse, Deployment},
-    table::Table,
     upstream::{self, Behavior},
 };
 
@@ -38,29 +37,6 @@
     deployment.send(req).await.expect("response")
 }
 
-/// Waits until both daemons know both, so that one of them plans all requests.
-///
-/// A table that is published after both are registered comes after their entries in the store.
-async fn wait_for_common_planner(deployment: &Deployment) {
-    daemon::wait_until("both daemons are registered", async || {
-        deployment.log().matches("event=registered").count() == 2
-    })
-    .await
-    .expect("registered");
-    let table = Table {
-        version: 2,
-        extra_routes: vec!["new".to_owned()],
-        ..Table::default()
-    };
-    deployment.publish_table(&table).expect("table");
-    daemon::wait_until("the table is in force", async || {
-        let statuses = [0, 1].map(|index| deployment.get_status(index, "/new/x"));
-        futures_util::future::join_all(statuses).await == [200, 200]
-    })
-    .await
-    .expect("in force");
-}
-
 /// Returns the number of requests with the deadly part that have reached an upstream.
 fn count_deadly_sends(deployment: &Deployment) -> usize {
     let upstreams = deployment.upstreams.iter();
@@ -73,7 +49,10 @@
 #[tokio::test]
 async fn a_part_that_crashes_upstreams_does_not_reach_one_after_the_other() {
     let deployment = Deployment::start(2, UPSTREAMS).await.expect("deployment");
-    wait_for_common_planner(&deployment).await;
+    deployment
+        .wait_for_common_planner()
+        .await
+        .expect("common planner");
     deployment.set_behavior(Behavior::CrashOnPart(DEADLY_PART));
     let mut statuses = Vec::new();
     for number in 0..12 {
@@ -100,7 +79,10 @@
 #[tokio::test]
 async fn a_restart_of_all_daemons_does_not_forget_a_part_that_crashes_upstreams() {
     let mut deployment = Deployment::start(2, UPSTREAMS).await.expect("deployment");
-    wait_for_common_planner(&deployment).await;
+    deployment
+        .wait_for_common_planner()
+        .await
+        .expect("common planner");
     deployment.set_behavior(Behavior::CrashOnPart(DEADLY_PART));
     for number in 0..4 {
         send(&deployment, number % 2, number, DEADLY_PART).await;
