--- a/limpetkeelctl/src/main.rs
+++ b/limpetkeelctl/src/main.rs
@@ -28,7 +28,8 @@
 
 Options:
   --platform URL   The platform; the variable LIMPETKEEL_PLATFORM by default
-  --expect N       Refuses the change unless the tables are still at revision N
+  --expect N       Refuses the change unless the tables are still at revision N, or ERA.N
+                   as printed if the store was restored from an older copy
   --json           Prints JSON
   --help           Shows this text
   --version        Shows the version
--- a/limpetkeeld/src/platform.rs
+++ b/limpetkeeld/src/platform.rs
@@ -10,7 +10,7 @@
 use crate::latest_era::LatestEra;
 
 /// The header with the era of the store.
-const ERA_HEADER: &str = "store-era";
+const ERA_HEADER: &str = "kv-era";
 
 /// The key of the tables in the store.
 const TABLES_KEY: &str = "limpetkeel/tables";
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -9,7 +9,7 @@
 //! | `GET /instances` | the instance list, delayed by the list lag |
 //! | `PUT`, `DELETE /instances/{name}` | adds, replaces or removes an entry of the instance list |
 //! | `POST /weights` `{bytes}` | reads from the weight store; 204, or 429 above the rate limit |
-//! | `PUT /copy`, `PUT /restore` | copies the key-value store; goes back to the copy. Responses of the store and the instance list have the number of times as `store-era` |
+//! | `PUT /copy`, `PUT /restore` | copies the key-value store; goes back to the copy. Responses of the store and the instance list have the number of times as `kv-era` |
 //! | `GET /calls` | the number of calls, by kind |
 //! | `PUT /fault`, `PUT /list-fault` | inject a fault into the key-value store and the acquisition of leases, or into the instance list |
 
@@ -120,7 +120,7 @@
     /// Adds the era of the store to a response.
     fn add_era(&self, res: &mut salvo::Response) {
         let era = http::HeaderValue::from(self.store.era());
-        res.headers_mut().insert("store-era", era);
+        res.headers_mut().insert("kv-era", era);
     }
 
     /// Returns `true` if the rate limit admits a call. If not, counts the refusal and sets status
