--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -63,10 +63,11 @@
 }
 
 /// Replaces the shared tables with a snapshot, unless the snapshot's revision is older than theirs.
-/// The routing table has an order of its own: its version, which the store's revisions don't affect.
+/// The routing table is ordered by its version instead, which holds in all eras.
 ///
-/// What is missing from the snapshot of a later era may have been lost with the newest contents of
-/// the store, so that its removal is doubtful for a while. Upstreams missing from a peer's snapshot are always removed as [`Removal::Doubtful`].
+/// What the snapshot of a later era lacks may have been lost with the newest contents of the store,
+/// so that its removal is doubtful for a while. Upstreams missing from a peer's snapshot are always
+/// removed as [`Removal::Doubtful`].
 fn apply_snapshot(shared: &shared::Shared, snapshot: StoreSnapshot, source: jobs::SnapshotSource) {
     let now = shared.clock.now();
     let mut tables = shared.tables.lock();
