Let a test of quarantines wait until the daemons know each other

The log shows that all three daemons read the store in the same millisecond, before any was registered (catalog_adopted instances=0), and that the store was taken from the third one before its first watch returned: it knew no peer, and no way to find one is configured in this test. The test assumes a peer, and now waits for it; its checks and bounds are unchanged. A test of restored stores assumed the same.

--- a/standins/tests/quarantine.rs
+++ b/standins/tests/quarantine.rs
@@ -105,6 +105,11 @@
 #[tokio::test]
 async fn a_written_quarantine_reaches_a_daemon_without_the_store_until_it_is_lifted() {
     let deployment = Deployment::start(3, 1).await.expect("deployment");
+    // A daemon that knows no peer yet cannot learn anything without the store.
+    deployment
+        .wait_for_common_planner()
+        .await
+        .expect("the daemons know each other");
     deployment.store.set_response_mode_at(2, ResponseMode::Hang);
     let client = client(deployment.store.addresses[0]);
     let written = client.quarantine(imposed(PART, 2), LIFETIME).await;
--- a/standins/tests/restored_store.rs
+++ b/standins/tests/restored_store.rs
@@ -91,14 +91,18 @@
     mode: ResponseMode,
 ) {
     let deployment = Deployment::start(3, 1).await.expect("deployment");
+    deployment
+        .wait_for_common_planner()
+        .await
+        .expect("the daemons know each other");
     let copy = deployment.store.copy();
     deployment.store.put("other/key", &[1]);
     deployment.store.set_response_mode_at(2, mode);
     deployment.store.restore(&copy);
     deployment
-        .publish_table(&table(2, &["new"]))
+        .publish_table(&table(3, &["restored"]))
         .expect("table");
-    wait_until_served(&deployment, "/new/x").await;
+    wait_until_served(&deployment, "/restored/x").await;
 }
 
 #[tokio::test]
