Compute the digest of a request once; simplify the screening of requests

Cause and change: the digest of a request was computed for each plan request and each failed attempt, though it never changes; it is now computed when the body has arrived. That a quarantined request is rejected was a special case of the verdict and is an admission of the screened cause; the crashes that explain a crash were computed by two functions. An order of the progress of updates served one comparison. Comments that were no longer true, and phrases of the users' pages (a request that comes again, an older copy), are replaced.

--- a/limpetkeel/src/crash_cause.rs
+++ b/limpetkeel/src/crash_cause.rs
@@ -1,5 +1,5 @@
 //! What may crash the upstreams that run it: a part that prompts have in common, or a request that
-//! comes again.
+//! is repeated.
 
 use std::fmt;
 
@@ -14,6 +14,13 @@
     Request(u64),
 }
 
+impl CrashCause {
+    /// Returns `true` if the cause is a request.
+    pub fn is_request(self) -> bool {
+        matches!(self, CrashCause::Request(_))
+    }
+}
+
 impl fmt::Display for CrashCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/limpetkeel/src/crash_screening.rs
+++ b/limpetkeel/src/crash_screening.rs
@@ -1,4 +1,4 @@
-//! Screens possible causes of crashes: parts of prompts, and requests that come again.
+//! Screens possible causes of crashes: parts of prompts, and requests that are repeated.
 //!
 //! A crash is evidence against every cause of its request, since the cause cannot be seen from
 //! outside. A response that begins clears all causes of its request. What remains are the causes that
@@ -118,19 +118,16 @@
                 continue;
             };
             let admission = match screened.admission(now) {
-                screened_cause::Admission::Held(_) if self.lacks_other_cause(screened, causes) => {
+                screened_cause::Admission::Held(_) | screened_cause::Admission::Rejected
+                    if self.lacks_other_cause(screened, causes) =>
+                {
                     screened_cause::Admission::Trial
                 }
                 admission => admission,
             };
             verdict = match (verdict, admission) {
                 (Verdict::Rejected, _) | (_, screened_cause::Admission::Free) => verdict,
-                (_, screened_cause::Admission::Held(_))
-                    if matches!(cause, crash_cause::CrashCause::Request(_))
-                        && screened.phase() == screened_cause::Phase::Quarantined =>
-                {
-                    Verdict::Rejected
-                }
+                (_, screened_cause::Admission::Rejected) => Verdict::Rejected,
                 (Verdict::Clear, screened_cause::Admission::Trial) => Verdict::Trial,
                 (_, screened_cause::Admission::Trial) => verdict,
                 (Verdict::Refused { retry_after }, screened_cause::Admission::Held(wait)) => {
@@ -166,16 +163,18 @@
         &self,
         causes: &[crash_cause::CrashCause],
     ) -> Option<crash_cause::CrashCause> {
-        let screened = |cause: &crash_cause::CrashCause| {
-            let screened = self.causes.get(cause);
-            screened.filter(|screened| screened.is_suspected())
-        };
-        let explaining = causes.iter().filter_map(screened);
-        let explaining = explaining.map(|screened| screened.crashes()).max();
-        let is_request =
-            |cause: &&crash_cause::CrashCause| matches!(cause, crash_cause::CrashCause::Request(_));
-        let request = causes.iter().find(is_request)?;
-        (screened(request)?.crashes() >= explaining?).then_some(*request)
+        let explaining = self.explaining_crashes(causes);
+        let request = causes.iter().find(|cause| cause.is_request())?;
+        let screened = self.causes.get(request)?;
+        let explains = screened.is_suspected() && Some(screened.crashes()) == explaining;
+        explains.then_some(*request)
+    }
+
+    /// Returns the largest number of crashes of a suspected cause, or `None` if none is suspected.
+    fn explaining_crashes(&self, causes: &[crash_cause::CrashCause]) -> Option<u32> {
+        let screened = causes.iter().filter_map(|cause| self.causes.get(cause));
+        let suspected = screened.filter(|screened| screened.is_suspected());
+        suspected.map(|screened| screened.crashes()).max()
     }
 
     /// Starts the trial of the suspected causes of a request that was planned after
@@ -206,9 +205,7 @@
     ) {
         self.remove_expired(now);
         let causes = &causes[..causes.len().min(MAX_CAUSES_PER_REQUEST)];
-        let screened = causes.iter().filter_map(|cause| self.causes.get(cause));
-        let suspected = screened.filter(|screened| screened.is_suspected());
-        let explaining = suspected.map(|screened| screened.crashes()).max();
+        let explaining = self.explaining_crashes(causes);
         let repeated = self.repeated_request(causes);
         let (counted, explained): (Vec<_>, Vec<_>) = causes.iter().partition(|cause| {
             let screened = self.causes.get(cause);
--- a/limpetkeel/src/crash_screening/screened_cause.rs
+++ b/limpetkeel/src/crash_screening/screened_cause.rs
@@ -37,7 +37,7 @@
 /// A part may hold back sound requests of many callers. A request is tried as rarely as possible,
 /// since only its own repetitions depend on it and a crash breaks every stream of the upstream.
 fn back_off(cause: crash_cause::CrashCause, crashes: u32) -> unit::Millis {
-    if let crash_cause::CrashCause::Request(_) = cause {
+    if cause.is_request() {
         return MAX_BACK_OFF;
     }
     let doublings = crashes.saturating_sub(SUSPECTED_CRASHES + 1);
@@ -168,6 +168,8 @@
     Trial,
     /// Not before this time has passed.
     Held(unit::Millis),
+    /// Not at all, since the cause is a request that is quarantined.
+    Rejected,
 }
 
 /// A cause in any of its states.
@@ -326,6 +328,9 @@
             ScreenedCause::Reported(_) => Admission::Free,
             ScreenedCause::Suspected(_) => Admission::Trial,
             ScreenedCause::Quarantined(cause) if cause.state.next_trial <= now => Admission::Trial,
+            ScreenedCause::Quarantined(cause) if cause.evidence.cause.is_request() => {
+                Admission::Rejected
+            }
             ScreenedCause::Quarantined(cause) => Admission::Held(cause.state.next_trial.since(now)),
             ScreenedCause::SuspectedOnTrial(_) | ScreenedCause::QuarantinedOnTrial(_) => {
                 Admission::Held(unit::Millis::ZERO)
--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -109,9 +109,9 @@
     },
     /// Every engine that prefills long prompts already helps as many leads as it accepts.
     NoHelper,
-    /// Upstreams crashed on a part of the prompt. Requests with it are held back.
+    /// Upstreams crashed on the request or a part of its prompt, which is on trial or quarantined.
     PartHeldBack {
-        /// The time until a request with the part may be admitted.
+        /// The time until another such request may be admitted.
         retry_after: unit::Millis,
     },
     /// Upstreams crashed on this request before. It is not run again.
@@ -321,7 +321,7 @@
             Error::NoHelper => f.write_str("no engine can prefill a part of the prompt now"),
             Error::PartHeldBack { retry_after } => write!(
                 f,
-                "requests with a part of the prompt are held back for {retry_after}"
+                "upstreams crashed on such requests, which are held back for {retry_after}"
             ),
             Error::RequestQuarantined => {
                 f.write_str("upstreams crashed on this request, and it is not run again")
--- a/limpetkeel/src/instance_registry.rs
+++ b/limpetkeel/src/instance_registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use crate::{member, name, unit, upstream_registry::Removal};
+use crate::{member, name, unit, upstream_registry};
 
 /// How long an instance that did not respond is skipped before it is tried again. It is long enough
 /// that a frozen planner delays few requests, and short enough that a recovered one is used soon.
@@ -88,9 +88,14 @@
 
     /// Removes an instance whose entry was deleted. If the removal is doubtful, the instance is kept
     /// for a while.
-    pub fn remove(&mut self, now: unit::Timestamp, name: &name::InstanceName, removal: Removal) {
+    pub fn remove(
+        &mut self,
+        now: unit::Timestamp,
+        name: &name::InstanceName,
+        removal: upstream_registry::Removal,
+    ) {
         match removal {
-            Removal::Doubtful if self.contacts.contains_key(name) => {
+            upstream_registry::Removal::Doubtful if self.contacts.contains_key(name) => {
                 self.unlisted.entry(name.clone()).or_insert(now);
             }
             _ => {
@@ -107,7 +112,7 @@
         &mut self,
         now: unit::Timestamp,
         contacts: Vec<member::Contact>,
-        removal: Removal,
+        removal: upstream_registry::Removal,
     ) {
         let missing: Vec<_> = self
             .contacts
@@ -131,7 +136,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
-            self.remove(now, &name, Removal::Certain);
+            self.remove(now, &name, upstream_registry::Removal::Certain);
         }
     }
 
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -34,7 +34,7 @@
     /// When the response is expected to end, which frees the memory.
     pub(super) expected_end: unit::Timestamp,
     pub(super) expires_at: unit::Timestamp,
-    /// The parts of the prompt that other requests may share.
+    /// What may crash the upstreams that run the request.
     pub(super) causes: Vec<crash_cause::CrashCause>,
     /// The process of the lead, unless it was unknown or draining.
     pub(super) lead: Option<crash_screening::UpstreamLifetime>,
--- a/limpetkeel/src/quarantine_list.rs
+++ b/limpetkeel/src/quarantine_list.rs
@@ -5,7 +5,7 @@
 //! takes precedence over the entry of its cause until the changes up to the revision of the write
 //! have been applied, so that an older change that arrives meanwhile does not revert it.
 //!
-//! A store that comes back from an older copy has lost the latest writes. The instance that wrote an
+//! A store that was restored from a backup has lost the latest writes. The instance that wrote an
 //! update queues it again, and the others keep the lost entries in force until then.
 
 use std::collections;
@@ -32,7 +32,7 @@
 }
 
 /// How far a local update has got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
     /// It is to be written to the store.
     Queued,
@@ -141,8 +141,10 @@
 
     /// Forgets a written update of a cause that another instance has updated since.
     fn forget_written(&mut self, cause: crash_cause::CrashCause, at: revision::Revision) {
-        let written = self.written.get(&cause).map(|written| written.progress);
-        if written.is_some_and(|progress| progress < Progress::Written(at)) {
+        if let Some(local) = self.written.get(&cause)
+            && let Progress::Written(written) = local.progress
+            && written < at
+        {
             self.written.remove(&cause);
         }
     }
--- a/limpetkeel/src/revision.rs
+++ b/limpetkeel/src/revision.rs
@@ -2,10 +2,9 @@
 
 use std::{fmt, num, str};
 
-/// The number of the copy of its contents that the store serves.
+/// The number of times that the store was restored from a backup, counted from any start.
 ///
-/// It increases each time the store comes back from an older copy. Revisions of the lost contents
-/// are then assigned again. A store that reports no era stays in the default one.
+/// After a restore, the store assigns the revisions of the lost contents again. A store that reports no era stays in the default one.
 #[derive(
     Clone,
     Copy,
--- a/limpetkeel/src/upstream_registry.rs
+++ b/limpetkeel/src/upstream_registry.rs
@@ -51,12 +51,12 @@
     missing_since: Option<(unit::Timestamp, revision::Revision)>,
 }
 
-/// Whether the removal of an entry means that its upstream has stopped.
+/// Whether the removal of an entry means that its upstream or instance has stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Removal {
-    /// The store was healthy, so the upstream has stopped.
+    /// The store was healthy, so the process has stopped.
     Certain,
-    /// The store was unhealthy. The entry may have expired although the upstream is running.
+    /// The store was unhealthy or has lost entries, so the process may be running.
     Doubtful,
 }
 
--- a/limpetkeel/tests/planner_screening.rs
+++ b/limpetkeel/tests/planner_screening.rs
@@ -243,7 +243,7 @@
     assert!(is_held_back(&mut second_planner, 2_000, 11, &[DEADLY]));
 }
 
-/// A request that crashes upstreams, and that comes again.
+/// A request that crashes upstreams, and that is repeated.
 const DEADLY_REQUEST: CrashCause = CrashCause::Request(0xdead);
 
 #[test]
--- a/limpetkeelctl/src/main.rs
+++ b/limpetkeelctl/src/main.rs
@@ -29,7 +29,7 @@
 Options:
   --platform URL   The platform; the variable LIMPETKEEL_PLATFORM by default
   --expect N       Refuses the change unless the tables are still at revision N, or ERA.N
-                   as printed if the store was restored from an older copy
+                   as printed if the store was restored from a backup
   --json           Prints JSON
   --help           Shows this text
   --version        Shows the version
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -110,7 +110,7 @@
 
 /// How new the tables of an instance are.
 ///
-/// After the store has gone back to an older copy, an instance that starts may read an older routing
+/// After the store was restored from a backup, an instance that starts may read an older routing
 /// table at the revision at which the others still have a newer one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct KnownTables {
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -9,9 +9,9 @@
 //! [`request_summary`] logs the result.
 //!
 //! [`store_watch`] receives table changes from the store or a watcher, [`peer_fallback`] requests
-//! them from peers, [`store_updates`] applies them, [`quarantine`] writes the quarantines of the local planners to the store, and
-//! [`register`] keeps the local instance registered there. [`reload`] rereads the settings, and
-//! [`drain`] shuts the instance down.
+//! them from peers, and [`store_updates`] applies them. [`quarantine`] writes the quarantines of the
+//! local planners to the store, and [`register`] keeps the local instance registered there.
+//! [`reload`] rereads the settings, and [`drain`] shuts the instance down.
 //!
 //! Wire formats are confined to implementations of the traits in [`port`].
 
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -330,6 +330,6 @@
         request = %request.head.id,
         upstream = %at_fault,
         reason,
-        cause = %request.own_cause(),
+        cause = %request.own_cause,
     );
 }
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -163,6 +163,7 @@
     let relayed = RelayedRequest::new(info, received, deadline, head.resume_after);
     let request = caller_request::CallerRequest {
         waiting_id: RequestId(rand::random()),
+        own_cause: caller_request::own_cause(&head, &parts, &body.bytes),
         head,
         parts,
         body,
--- a/limpetkeeld/src/relay/peer_fallback.rs
+++ b/limpetkeeld/src/relay/peer_fallback.rs
@@ -20,8 +20,8 @@
 /// Requests snapshots from peers while the store is unreachable or before the first routing table
 /// arrives, until the process ends.
 ///
-/// One more response is requested then, since a store that was restored from an older copy may hold
-/// an older table than the peers.
+/// One more response is requested then, since a store that was restored from a backup may hold an
+/// older table than the peers.
 pub async fn run(shared: sync::Arc<shared::Shared>) {
     let mut comparisons = MAX_COMPARISONS;
     loop {
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -191,8 +191,7 @@
     Refused(u16),
     /// No response arrived. A write may have taken effect.
     NoResponse,
-    /// The store no longer has the changes after the requested revision, or has gone back to an older
-    /// copy.
+    /// The store no longer has the changes after the requested revision, or was restored from a backup.
     HistoryLost,
     /// The lease has expired, or is of an era that has ended.
     Expired,
--- a/limpetkeeld/src/relay/request_summary.rs
+++ b/limpetkeeld/src/relay/request_summary.rs
@@ -16,9 +16,9 @@
 pub enum FailureReason {
     /// The planner refused to place the request.
     NoPlan,
-    /// Upstreams crashed on a part of the prompt, and requests with it are held back.
+    /// Upstreams crashed on the request or a part of its prompt, which is on trial or quarantined.
     PartHeldBack {
-        /// The time until a request with the part may be admitted.
+        /// The time until another such request may be admitted.
         retry_after: Millis,
     },
     /// Upstreams crashed on this request before, and it is not run again.
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -159,8 +159,8 @@
 }
 
 /// Probes the store at regular intervals during a watch for changes after a revision. Returns the
-/// error of the first failed probe, or `Ok` if the watch has missed a change. A store that has gone
-/// back to an older copy counts as one without the history.
+/// error of the first failed probe, or `Ok` if the watch has missed a change. A store that was
+/// restored from a backup counts as one without the history.
 ///
 /// A pending watch reveals neither that the store is unreachable nor that its own connection has
 /// gone silent, and followers rely on this instance for changes.
--- a/standins/tests/deadly_request.rs
+++ b/standins/tests/deadly_request.rs
@@ -1,4 +1,4 @@
-//! Tests of a request on which upstreams crash, and that comes again.
+//! Tests of a request that is repeated although upstreams crash on it.
 
 use std::time;
 
--- a/standins/tests/platform_era.rs
+++ b/standins/tests/platform_era.rs
@@ -1,4 +1,4 @@
-//! Tests of the daemon's platform client while the key-value store goes back to an older copy.
+//! Tests of the daemon's platform client while the key-value store is restored from a backup.
 
 use std::{net, time};
 
--- a/standins/tests/restored_store.rs
+++ b/standins/tests/restored_store.rs
@@ -1,4 +1,4 @@
-//! Tests of a store that comes back from an older copy: its revisions and leases are assigned again.
+//! Tests of a store that is restored from a backup: its revisions and leases are assigned again.
 
 use std::time;
 
