--- a/review/standin.rs
+++ b/review/standin.rs
@@ -452,7 +452,11 @@
 enum Answer {
     /// A complete answer after the work.
     Complete(Duration),
-    /// The same, but interim heads without end once the flag is set, until the caller closes.
+    /// A stream of events.
+    Events,
+    /// The same, but an error with a body without end once the flag is set, until the caller closes.
+    EndlessError(Arc<AtomicBool>),
+    /// A complete answer, but interim heads without end once the flag is set, until the caller closes.
     EndlessHeads(Duration, Arc<AtomicBool>, Arc<Link>),
 }
 
@@ -469,8 +473,9 @@
             });
         }
     });
+    let slots = if service == "desk" { 6 } else { 16 };
     let entry = format!(
-        r#"{{"service":"{service}","address":"{address}","zone":"z1","version":"v1","slots":6,"state":"ready","cold_left_ms":0,"seq_no":0,"born":1}}"#
+        r#"{{"service":"{service}","address":"{address}","zone":"z1","version":"v1","slots":{slots},"state":"ready","cold_left_ms":0,"seq_no":0,"born":1}}"#
     );
     store.write(&format!("servers/{id}"), &entry);
     Ok(())
@@ -494,6 +499,31 @@
                     stream.write_all(&heads)?;
                 }
             }
+            Answer::EndlessError(is_faulty) if is_faulty.load(Ordering::Relaxed) => {
+                let head = format!(
+                    "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: {id}.1\r\n\r\n"
+                );
+                stream.write_all(head.as_bytes())?;
+                let link = Link { bytes_per_s: ERROR_BYTES_PER_S, next: Mutex::new(Instant::now()) };
+                let bytes = vec![b'x'; 32 * 1024];
+                loop {
+                    link.wait(bytes.len());
+                    stream.write_all(&bytes)?;
+                }
+            }
+            Answer::Events | Answer::EndlessError(_) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: {id}.1\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                stream.write_all(head.as_bytes())?;
+                for event in 1..=EVENTS {
+                    thread::sleep(EVENT_INTERVAL);
+                    let text = format!("id: {event}\ndata: part {event} of {attempt}\n\n");
+                    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                    stream.write_all(chunk.as_bytes())?;
+                }
+                stream.write_all(b"0\r\n\r\n")?;
+            }
             Answer::Complete(work) | Answer::EndlessHeads(work, ..) => {
                 thread::sleep(*work);
                 let body = format!("result of {attempt}\n").repeat(20);
@@ -509,6 +539,15 @@
     Ok(())
 }
 
+/// The number of events of a stream; the mean of the sheet's shortest kind.
+const EVENTS: u32 = 32;
+
+/// The time between two events.
+const EVENT_INTERVAL: Duration = Duration::from_millis(30);
+
+/// What a server in trouble sends on one channel.
+const ERROR_BYTES_PER_S: f64 = 1.8e6;
+
 // ---------------------------------------------------------------- machines
 
 /// Returns an address on which nothing listens.
@@ -810,6 +849,195 @@
     Ok(is_broken)
 }
 
+// ---------------------------------------------------------------- case 3
+
+/// `limits.memory_mb` of the site's sheet, in bytes.
+const MEMORY_LIMIT: u64 = 182 * 1024 * 1024;
+
+/// Returns the resident memory of a process in bytes.
+fn resident_memory(pid: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
+fn stream_config() -> String {
+    let route = r#"{"name":"r-ask","host":"a.example","prefix":"/ask/","kind":"streaming","timeout_ms":10000,"goal_ms":250,"priority":0,"service":"advisor","max_attempts":2,"public":false,"sticky":true,"gap_aim_ms":250}"#;
+    let engine = r#"{"slots":16,"kv_capacity_tokens":232000,"token_kv_bytes":327680,"stride":43,"models":[{"name":"m"}],"step_ms":1.02,"per_seq_ms":0.00226,"context_per_k":0.00431,"read_per_s":206000.0,"pairs_per_m":0.138,"chunk":2048,"report_lag_ms":200.0,"usual":{"prompt":12337,"answer":1303},"hop_ms":0.075}"#;
+    format!(
+        r#"{{"version":3,"routes":[{route}],"services":[{{"name":"advisor","health_path":"/health","max_conns":819,"protocol":"h1","tls":false,"engine":{engine}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"t1","api_keys":["key1"]}}]}}"#
+    )
+}
+
+/// How a stream ended for its client.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum End {
+    Complete,
+    Failure,
+    Closed,
+    TimeLimit,
+    NoChannel,
+}
+
+/// Sends a request for a stream on a channel that the client keeps open.
+fn ask(record: &Record, front: SocketAddr, id: &str) -> End {
+    const TIME_LIMIT: Duration = Duration::from_millis(10_000);
+    let sent = Instant::now();
+    record.add(&format!("sent {id} POST /ask/fit"));
+    let Ok(mut stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else {
+        record.add(&format!("no channel {id}"));
+        return End::NoChannel;
+    };
+    let head = format!(
+        "POST /ask/fit HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {}\r\nAuthorization: Bearer key1\r\nX-Model: m\r\nX-Token-Count: 5000,1300\r\nX-Prompt-Prefix: 5c1e07a2:40,{id}:4960\r\nContent-Length: 8\r\n\r\nquestion",
+        TIME_LIMIT.as_millis()
+    );
+    let mut response = Vec::new();
+    let mut chunk = [0; 8192];
+    let end = if stream.write_all(head.as_bytes()).is_err() {
+        End::Closed
+    } else {
+        loop {
+            let rest = TIME_LIMIT.saturating_sub(sent.elapsed());
+            if rest.is_zero() {
+                break End::TimeLimit;
+            }
+            let _ = stream.set_read_timeout(Some(rest));
+            match stream.read(&mut chunk) {
+                Ok(0) => break End::Closed,
+                Ok(read) => response.extend_from_slice(&chunk[..read]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break End::TimeLimit,
+                Err(_) => break End::Closed,
+            }
+            let is_success = response.starts_with(b"HTTP/1.1 200");
+            if is_success && response.ends_with(b"\r\n0\r\n\r\n") {
+                break End::Complete;
+            }
+            if !is_success && response.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+                break End::Failure;
+            }
+        }
+    };
+    let status = String::from_utf8_lossy(&response).chars().skip(9).take(3).collect::<String>();
+    let text = match end {
+        End::Complete => "complete",
+        End::Failure => "failure",
+        End::Closed => "channel closed without the end of an answer",
+        End::TimeLimit => "time limit passed",
+        End::NoChannel => "no channel",
+    };
+    record.add(&format!("answer {id} {status} {text} after {} ms", sent.elapsed().as_millis()));
+    end
+}
+
+/// Three servers of five answer with an error whose body has no end.
+fn endless_errors(directory: &Path, scratch: &Path, trouble: bool) -> io::Result<bool> {
+    const LENGTH: Duration = Duration::from_secs(45);
+    const BEGIN: Duration = Duration::from_secs(5);
+    const PER_S: f64 = 14.0;
+    let record = Record::new();
+    let (store, store_address) = Store::start()?;
+    store.write("op/config", &stream_config());
+    let is_faulty = Arc::new(AtomicBool::new(false));
+    let in_trouble = ["m-2", "m-3", "m-4"];
+    for id in in_trouble {
+        start_server(&store, &record, "advisor", id, Answer::EndlessError(is_faulty.clone()))?;
+    }
+    for id in ["m-1", "m-5"] {
+        start_server(&store, &record, "advisor", id, Answer::Events)?;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut fronts = Vec::new();
+    let mut platforms = Vec::new();
+    for index in 1..=2 {
+        let mut machine = Machine::start(index, store_address, scratch)?;
+        fronts.push((machine.front, machine.ready));
+        let (record, stop, file) =
+            (record.clone(), stop.clone(), scratch.join(format!("node-{index}.toml")));
+        // The platform: ends a process whose memory is over the limit, and starts it again.
+        platforms.push(thread::spawn(move || {
+            let (mut largest, mut ends) = (0, 0);
+            while !stop.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(10));
+                let memory = resident_memory(machine.process.id());
+                largest = largest.max(memory);
+                if memory > MEMORY_LIMIT {
+                    ends += 1;
+                    record.add(&format!("machine {index}: memory {} MB, over the limit: killed", memory >> 20));
+                    let _ = machine.process.kill();
+                    let _ = machine.process.wait();
+                    thread::sleep(Duration::from_millis(300));
+                    let started = Command::new(PROGRAM)
+                        .env_clear()
+                        .env("LIMPETKEEL_BOOT", &file)
+                        .stdin(Stdio::null())
+                        .stdout(Stdio::null())
+                        .stderr(Stdio::null())
+                        .spawn();
+                    match started {
+                        Ok(process) => machine.process = process,
+                        Err(_) => break,
+                    }
+                }
+            }
+            record.add(&format!("machine {index}: most memory {} MB, ended {ends} times", largest >> 20));
+        }));
+    }
+    let ready_by = Instant::now() + Duration::from_secs(10);
+    while !fronts.iter().all(|(_, ready)| is_ready(*ready)) {
+        if Instant::now() > ready_by {
+            stop.store(true, Ordering::Relaxed);
+            return Err(io::Error::other("a machine is not ready"));
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    let begin = Instant::now();
+    let ends: Arc<Mutex<BTreeMap<String, End>>> = Arc::default();
+    let mut clients = Vec::new();
+    let mut number = 0_u32;
+    while begin.elapsed() < LENGTH {
+        if trouble && begin.elapsed() >= BEGIN && !is_faulty.swap(true, Ordering::Relaxed) {
+            record.add("trouble: servers m-2, m-3 and m-4 answer with errors without end");
+        }
+        let front = fronts[number as usize % fronts.len()].0;
+        let (record, ends) = (record.clone(), ends.clone());
+        let id = format!("{:016x}", 0x5eed_0000_0000_0000_u64 + u64::from(number));
+        clients.push(thread::spawn(move || {
+            let end = ask(&record, front, &id);
+            ends.lock().unwrap().insert(id, end);
+        }));
+        number += 1;
+        let due = Duration::from_secs_f64(f64::from(number) / PER_S);
+        thread::sleep(due.saturating_sub(begin.elapsed()));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    stop.store(true, Ordering::Relaxed);
+    for platform in platforms {
+        let _ = platform.join();
+    }
+    let lines = record.lines.lock().unwrap().clone();
+    let ends = ends.lock().unwrap();
+    let runs = lines.lines().filter_map(|line| line.trim().split_once(" run ")?.1.split_once(" at "));
+    let lost: Vec<_> = runs
+        .filter(|(_, server)| !in_trouble.contains(server))
+        .filter(|(id, _)| ends.get(*id) == Some(&End::Closed))
+        .map(|(id, server)| format!("{id} at {server}"))
+        .collect();
+    let is_broken = lost.len() > 3;
+    record.add(&format!(
+        "{} requests; passed on to a sound server and closed without an answer: {} ({}): {}",
+        ends.len(),
+        lost.len(),
+        lost.join(", "),
+        if is_broken { "broken" } else { "held" }
+    ));
+    record.save(directory);
+    Ok(is_broken)
+}
+
 /// What the server that misbehaves sends in bytes per second: less than the link of one machine,
 /// 700 Mbit/s.
 fn link_rate() -> f64 {
@@ -828,6 +1056,7 @@
     let scratch = std::env::temp_dir().join(format!("limpetkeel-review-{}", std::process::id()));
     let result = fs::create_dir_all(&scratch).and_then(|()| match case.as_str() {
         "endless-heads" => endless_heads(&directory, &scratch, trouble),
+        "endless-errors" => endless_errors(&directory, &scratch, trouble),
         _ => Err(io::Error::other("no such case")),
     });
     let _ = fs::remove_dir_all(&scratch);
