Tests of plans between instances with tables of different revisions

The comparison of a planner's tables and the check of a plan return what the code does today: any planner plans, and no plan is checked against the tables of the sender.

--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -158,6 +158,8 @@
     WorkerStopped,
     /// Every upstream of the pool is leaving or has asked for no requests for some time.
     UpstreamsUnavailable(name::PoolName),
+    /// The tables of the planner are older than those of the instance that requests a plan.
+    PlannerOutdated,
 }
 
 /// A validation rule for the fields of a declaration.
@@ -229,6 +231,7 @@
             Error::CallerDisconnected => "caller_gone",
             Error::WorkerStopped => "worker_stopped",
             Error::UpstreamsUnavailable(_) => "upstreams_unavailable",
+            Error::PlannerOutdated => "planner_outdated",
         }
     }
 
@@ -263,6 +266,7 @@
             | Error::StoreUnavailable
             | Error::UpstreamRefused
             | Error::UpstreamsUnavailable(_)
+            | Error::PlannerOutdated
             | Error::WorkerStopped => Category::Unavailable,
             Error::UpstreamFailed
             | Error::UpstreamRejected(_)
@@ -362,6 +366,7 @@
             Error::UpstreamsUnavailable(pool) => {
                 write!(f, "no upstream of pool {pool} accepts requests now")
             }
+            Error::PlannerOutdated => f.write_str("the tables of the planner are outdated"),
         }
     }
 }
--- a/limpetkeel/src/instance_registry.rs
+++ b/limpetkeel/src/instance_registry.rs
@@ -12,6 +12,10 @@
 /// last for seconds.
 const MAX_SUSPICION: unit::Millis = unit::Millis(6_000);
 
+/// How long a planner whose tables were outdated is skipped. A change reaches all instances that
+/// receive changes within a few hundred milliseconds.
+const OUTDATED_BACKOFF: unit::Millis = unit::Millis(300);
+
 /// The number of planners that are chosen from all availability zones, before one of the local
 /// availability zone.
 const HASHED_PLANNERS: usize = 2;
@@ -42,6 +46,9 @@
     /// When the entries of instances disappeared whose removal is doubtful.
     unlisted: collections::BTreeMap<name::InstanceName, unit::Timestamp>,
     suspicions: collections::BTreeMap<name::InstanceName, Suspicion>,
+    /// The instances that declined to plan because of their outdated tables, each with the time until
+    /// which it is not asked again.
+    outdated: collections::BTreeMap<name::InstanceName, unit::Timestamp>,
 }
 
 impl InstanceRegistry {
@@ -52,6 +59,7 @@
             contacts: collections::BTreeMap::new(),
             unlisted: collections::BTreeMap::new(),
             suspicions: collections::BTreeMap::new(),
+            outdated: collections::BTreeMap::new(),
         }
     }
 
@@ -102,6 +110,7 @@
                 self.contacts.remove(name);
                 self.unlisted.remove(name);
                 self.suspicions.remove(name);
+                self.outdated.remove(name);
             }
         }
     }
@@ -161,6 +170,14 @@
         self.suspicions.remove(name);
     }
 
+    /// Records that an instance responded that its tables are too old to plan, or made a plan that
+    /// contradicts the local ones. It is not suspected, but plans nothing for a short time.
+    pub fn record_outdated(&mut self, now: unit::Timestamp, name: &name::InstanceName) {
+        self.suspicions.remove(name);
+        self.outdated
+            .insert(name.clone(), now.after(OUTDATED_BACKOFF));
+    }
+
     /// Returns the listed instances that are not suspected.
     fn unsuspected(&self, now: unit::Timestamp) -> impl Iterator<Item = &member::Contact> {
         self.contacts.values().filter(move |contact| {
@@ -187,7 +204,12 @@
     /// first, then one of the local availability zone, which is reachable even if the zone is
     /// partitioned.
     pub fn planners(&self, now: unit::Timestamp, key: &str) -> Vec<member::Contact> {
-        let ranked = self.ranked(now, key);
+        let is_outdated = |contact: &member::Contact| {
+            let until = self.outdated.get(&contact.name);
+            until.is_some_and(|until| *until > now)
+        };
+        let mut ranked = self.ranked(now, key);
+        ranked.retain(|contact| !is_outdated(contact));
         let zone = &self.local.availability_zone;
         let in_zone = ranked
             .iter()
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -49,6 +49,7 @@
 mod member;
 mod name;
 mod plan;
+mod plan_check;
 mod planner;
 mod pool;
 mod prefix;
@@ -65,6 +66,7 @@
 mod store_follower;
 mod store_snapshot;
 mod table;
+mod table_freshness;
 mod throughput;
 mod unit;
 mod upstream;
@@ -106,6 +108,7 @@
     UpstreamName, WorkspaceName,
 };
 pub use plan::{AttemptResult, Helper, Plan, PlanRequest, PlanResult, ReportedPlan};
+pub use plan_check::{PlanProcesses, StalePlan, StaleReason};
 pub use planner::{FreeMemory, Planner};
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
@@ -135,6 +138,7 @@
     Change as StoreChange, Changes as StoreChanges, StoreChangeLog, StoreSnapshot,
 };
 pub use table::{Declarations, TableChange, Tables};
+pub use table_freshness::{MAX_PLANNER_LAG, RequesterTables, TableComparison, TableFreshness};
 pub use unit::{Bytes, HexId, Millicores, Millis, Timestamp, Tokens, TokensPerSecond};
 pub use upstream::{Capacity, HOLD_LIFETIME, LoadReport, ORPHAN_GRACE, RunningRequest, Upstream};
 pub use upstream_availability::{MAX_PAUSE, UpstreamAvailability, UpstreamProcess};
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -1,6 +1,6 @@
 //! Plans of relayed requests and the messages about them between instances and planners.
 
-use crate::{crash_cause, grant, ingress, name, request_limit, request_size, unit};
+use crate::{crash_cause, grant, ingress, name, request_limit, request_size, revision, unit};
 
 /// A request for a plan.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -33,6 +33,9 @@
     pub limits: Vec<request_limit::LimitNotice>,
     /// The number of planners that may plan for the pool without knowing each other's plans.
     pub planners: u32,
+    /// The revision of the latest change that the instance knows and that concerns the placement of
+    /// the request. The planner's tables must include it.
+    pub known_revision: revision::Revision,
 }
 
 /// An engine that prefills a part of a prompt for the lead.
--- /dev/null
+++ b/limpetkeel/src/plan_check.rs
@@ -0,0 +1,82 @@
+//! The check of a plan against the tables of the instance that is about to send the request.
+//!
+//! The plan may come from a planner with older tables, and the tables may have changed since the plan
+//! was made. An upstream that the local tables do not know yet is no fault: its planner is ahead.
+
+use std::collections;
+
+use crate::{grant, name, plan, upstream_registry};
+
+/// The reason why an upstream of a plan must not be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StaleReason {
+    /// The upstream finishes its requests and accepts no new ones.
+    Draining,
+    /// The upstream is no longer listed.
+    Removed,
+    /// The upstream is listed at another address.
+    Moved,
+    /// Another process has taken the place of the one for which the plan was accepted.
+    Replaced,
+}
+
+impl StaleReason {
+    /// Returns the code used in metrics and logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            StaleReason::Draining => "draining",
+            StaleReason::Removed => "removed",
+            StaleReason::Moved => "moved",
+            StaleReason::Replaced => "replaced",
+        }
+    }
+}
+
+/// A plan that contradicts the local tables.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StalePlan {
+    /// The upstream that must not be used.
+    pub upstream: name::UpstreamName,
+    /// The reason.
+    pub reason: StaleReason,
+}
+
+/// The processes of a plan's upstreams when the plan was first checked.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PlanProcesses {
+    start_times: collections::BTreeMap<name::UpstreamName, u64>,
+}
+
+impl PlanProcesses {
+    /// Checks the lead and all helpers of a plan, and records their processes at the first check.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first upstream that must not be used.
+    pub fn check(
+        &mut self,
+        registry: &upstream_registry::UpstreamRegistry,
+        pool: &name::PoolName,
+        plan: &plan::Plan,
+    ) -> Result<(), StalePlan> {
+        let helpers = plan.helpers.iter().map(|helper| &helper.engine);
+        for engine in [&plan.lead].into_iter().chain(helpers) {
+            self.check_upstream(registry, pool, engine)
+                .map_err(|reason| StalePlan {
+                    upstream: engine.upstream.clone(),
+                    reason,
+                })?;
+        }
+        Ok(())
+    }
+
+    fn check_upstream(
+        &mut self,
+        registry: &upstream_registry::UpstreamRegistry,
+        pool: &name::PoolName,
+        engine: &grant::UpstreamAddress,
+    ) -> Result<(), StaleReason> {
+        let _ = (registry, pool, engine);
+        Ok(())
+    }
+}
--- a/limpetkeel/src/quarantine_list.rs
+++ b/limpetkeel/src/quarantine_list.rs
@@ -77,6 +77,8 @@
     next_position: u64,
     /// The number of changes, by which users of the list detect that their copy is outdated.
     generation: u64,
+    /// The revision of the latest entry or removal that changed a quarantine.
+    changed_at: revision::Revision,
 }
 
 impl QuarantineList {
@@ -85,6 +87,12 @@
         self.generation
     }
 
+    /// Returns the revision of the latest entry or removal that changed a quarantine. Entries that
+    /// are written again without a change do not count.
+    pub fn changed_at(&self) -> revision::Revision {
+        self.changed_at
+    }
+
     /// Returns the quarantine of a cause.
     pub fn get(&self, cause: crash_cause::CrashCause) -> Option<crash_cause::Quarantine> {
         match self.local.get(&cause) {
@@ -121,7 +129,7 @@
             return;
         }
         self.forget_written(cause, entry.revision);
-        self.modify(cause, |list| {
+        self.modify_at(entry.revision, cause, |list| {
             list.forget_retained(cause);
             list.stored.insert(cause, entry)
         });
@@ -135,7 +143,7 @@
         self.forget_written(cause, at);
         let known = self.stored.get(&cause);
         if known.is_some_and(|known| known.revision <= at) {
-            self.modify(cause, |list| list.stored.remove(&cause));
+            self.modify_at(at, cause, |list| list.stored.remove(&cause));
         }
     }
 
@@ -340,6 +348,20 @@
         }
     }
 
+    /// Performs a modification that an entry or a removal at a revision causes.
+    fn modify_at<T>(
+        &mut self,
+        at: revision::Revision,
+        cause: crash_cause::CrashCause,
+        modification: impl FnOnce(&mut QuarantineList) -> T,
+    ) {
+        let generation = self.generation;
+        self.modify(cause, modification);
+        if self.generation != generation {
+            self.changed_at = self.changed_at.max(at);
+        }
+    }
+
     /// Performs a modification that concerns one cause, and increments the generation if the
     /// quarantine of the cause has changed.
     fn modify<T>(
--- a/limpetkeel/src/upstream_registry.rs
+++ b/limpetkeel/src/upstream_registry.rs
@@ -42,6 +42,17 @@
     pub revision: revision::Revision,
 }
 
+impl Entry {
+    /// Returns `true` if `other` differs in its revision only.
+    fn repeats(&self, other: &Entry) -> bool {
+        let same_revision = Entry {
+            revision: other.revision,
+            ..self.clone()
+        };
+        same_revision == *other
+    }
+}
+
 /// An entry and whether it is missing from the store.
 #[derive(Debug)]
 struct TrackedEntry {
@@ -78,6 +89,8 @@
     removed: collections::BTreeMap<name::UpstreamName, RemovedEntry>,
     /// The number of changes, by which users of the registry detect that their copy is outdated.
     generation: u64,
+    /// The revision of the latest change of each pool's upstreams, apart from repeated entries.
+    changed_at: collections::BTreeMap<name::PoolName, revision::Revision>,
 }
 
 impl UpstreamRegistry {
@@ -86,6 +99,17 @@
         self.generation
     }
 
+    /// Returns the revision of the latest change of a pool's upstreams. Entries that are written
+    /// again without a change do not count.
+    pub fn changed_at(&self, pool: &name::PoolName) -> revision::Revision {
+        self.changed_at.get(pool).copied().unwrap_or_default()
+    }
+
+    fn record_change(&mut self, pool: name::PoolName, at: revision::Revision) {
+        let changed_at = self.changed_at.entry(pool).or_default();
+        *changed_at = at.max(*changed_at);
+    }
+
     /// Applies an entry if its revision is newer than the last one of the upstream, or if it is the
     /// known entry and that is missing. Returns `true` if the entry was applied.
     ///
@@ -120,6 +144,15 @@
                 entry.state = UpstreamState::Draining;
             }
         }
+        let former = known.map(|tracked| &tracked.entry);
+        let is_repeated = !was_missing && former.is_some_and(|former| former.repeats(&entry));
+        let former_pool = former.map(|former| former.pool.clone());
+        if !is_repeated {
+            self.record_change(entry.pool.clone(), entry.revision);
+            if let Some(pool) = former_pool {
+                self.record_change(pool, entry.revision);
+            }
+        }
         self.removed.remove(&entry.name);
         self.generation += 1;
         let name = entry.name.clone();
@@ -147,6 +180,7 @@
             return;
         }
         self.generation += 1;
+        let pool = tracked.entry.pool.clone();
         match removal {
             Removal::Doubtful if tracked.entry.state == UpstreamState::Ready => {
                 tracked.missing_since.get_or_insert((now, at));
@@ -161,6 +195,7 @@
                 self.removed.insert(name.clone(), removed);
             }
         }
+        self.record_change(pool, at);
     }
 
     /// Replaces the entries with all those that the store lists at a revision. `removal` applies to
@@ -221,6 +256,35 @@
         self.entries.get(name).map(|tracked| &tracked.entry)
     }
 
+    /// Returns `true` if the entry of an upstream was removed and has not returned.
+    pub fn was_removed(&self, name: &name::UpstreamName) -> bool {
+        self.removed.contains_key(name)
+    }
+
+    /// Returns `true` if the entry of an upstream is missing.
+    pub fn is_missing(&self, name: &name::UpstreamName) -> bool {
+        let tracked = self.entries.get(name);
+        tracked.is_some_and(|tracked| tracked.missing_since.is_some())
+    }
+
+    /// Returns `true` if a pool has a ready upstream whose entry is not missing. Missing ones are
+    /// not used then.
+    pub fn has_present_upstream(&self, pool: &name::PoolName) -> bool {
+        self.entries()
+            .any(|entry| entry.pool == *pool && entry.state == UpstreamState::Ready)
+    }
+
+    /// Returns the upstreams of a pool that are draining.
+    pub fn draining_upstreams<'a>(
+        &'a self,
+        pool: &'a name::PoolName,
+    ) -> impl Iterator<Item = &'a name::UpstreamName> {
+        let entries = self.entries.values().map(|tracked| &tracked.entry);
+        entries
+            .filter(|entry| entry.pool == *pool && entry.state == UpstreamState::Draining)
+            .map(|entry| &entry.name)
+    }
+
     /// Returns the entries that are not missing.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries
--- a/limpetkeel/tests/instance_registry.rs
+++ b/limpetkeel/tests/instance_registry.rs
@@ -139,3 +139,19 @@
     assert_eq!(registry.contacts(), listed[..6]);
     assert_eq!(registry.len(), 6);
 }
+
+#[test]
+fn a_planner_with_outdated_tables_is_skipped_for_a_short_time() {
+    // A planner that is only behind must not be suspected for seconds like one that is gone.
+    let mut registry = registry();
+    let first = planner_names(&registry, 0)[0].clone();
+    let name = first.as_str().try_into().expect("name");
+    registry.record_outdated(Timestamp(0), &name);
+    assert!(!planner_names(&registry, 100).contains(&first));
+    assert!(planner_names(&registry, 400).contains(&first));
+    assert_eq!(
+        registry.watchers(Timestamp(100)).len(),
+        2,
+        "the instance still watches the store"
+    );
+}
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -5,7 +5,7 @@
 
 use limpetkeel::{
     AttemptResult, Error, Millis, PlacedRelayedRequest, Plan, PlanRequest, RelayedRequest,
-    RequestId, Routed, UpstreamName,
+    RequestId, Revision, Routed, UpstreamName,
 };
 
 use crate::relay::{
@@ -72,6 +72,7 @@
             ),
             limits: availability::limit_notices(shared, &relayed.info().pool),
             planners: 1,
+            known_revision: Revision::default(),
         };
         let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
             Ok(planned) => return Ok(planned),
