Compare the tables of planners and requesting instances, and check plans

A planner's tables must include the latest change that the requesting instance knows and that concerns the placement of the request.

--- a/limpetkeel/src/plan_check.rs
+++ b/limpetkeel/src/plan_check.rs
@@ -76,7 +76,29 @@
         pool: &name::PoolName,
         engine: &grant::UpstreamAddress,
     ) -> Result<(), StaleReason> {
-        let _ = (registry, pool, engine);
+        let Some(entry) = registry.get(&engine.upstream) else {
+            return if registry.was_removed(&engine.upstream) {
+                Err(StaleReason::Removed)
+            } else {
+                Ok(())
+            };
+        };
+        if entry.state == upstream_registry::UpstreamState::Draining {
+            return Err(StaleReason::Draining);
+        }
+        if entry.address != engine.address {
+            return Err(StaleReason::Moved);
+        }
+        if registry.is_missing(&entry.name) && registry.has_present_upstream(pool) {
+            return Err(StaleReason::Removed);
+        }
+        let start_time = self
+            .start_times
+            .entry(entry.name.clone())
+            .or_insert(entry.start_time);
+        if *start_time != entry.start_time {
+            return Err(StaleReason::Replaced);
+        }
         Ok(())
     }
 }
--- a/limpetkeel/src/table_freshness.rs
+++ b/limpetkeel/src/table_freshness.rs
@@ -64,7 +64,18 @@
     /// A planner that has lost the store goes on planning for its own availability zone, and for
     /// instances that have lost the store as well.
     pub fn compare(&self, requester: &RequesterTables) -> TableComparison {
-        let _ = requester;
+        if self.revision < requester.known_revision {
+            return TableComparison::Behind;
+        }
+        let is_older = match (self.age, requester.age) {
+            (_, None) => false,
+            (None, Some(_)) => true,
+            (Some(age), Some(requester_age)) => age > requester_age + MAX_PLANNER_LAG,
+        };
+        if self.is_disconnected && is_older && self.availability_zone != requester.availability_zone
+        {
+            return TableComparison::Disconnected;
+        }
         TableComparison::Sufficient
     }
 }
