--- a/limpetkeel/src/relayed_request.rs
+++ b/limpetkeel/src/relayed_request.rs
@@ -50,6 +50,8 @@
     last_delivered_event: Option<u64>,
     /// The upstreams that failed or declined the request.
     tried_upstreams: Vec<name::UpstreamName>,
+    /// The upstreams of plans that contradicted the local tables. They are never used.
+    stale_upstreams: Vec<name::UpstreamName>,
     state: S,
 }
 
@@ -103,6 +105,11 @@
         &self.tried_upstreams
     }
 
+    /// Returns the upstreams of plans that contradicted the local tables.
+    pub fn stale_upstreams(&self) -> &[name::UpstreamName] {
+        &self.stale_upstreams
+    }
+
     /// Returns the outcome that is reported to the caller if the request ends now without a
     /// response.
     pub fn outcome(&self) -> error::Outcome {
@@ -141,6 +148,7 @@
             may_have_run: self.may_have_run,
             last_delivered_event: self.last_delivered_event,
             tried_upstreams: self.tried_upstreams,
+            stale_upstreams: self.stale_upstreams,
             state,
         };
         (relayed, self.state)
@@ -164,6 +172,7 @@
             may_have_run: false,
             last_delivered_event,
             tried_upstreams: Vec::new(),
+            stale_upstreams: Vec::new(),
             state: Routed(()),
         }
     }
@@ -208,6 +217,13 @@
             .push(self.state.plan.lead.upstream.clone());
         self.into_state(Routed(())).0
     }
+
+    /// Returns to `Routed` with a plan that contradicts the local tables because of an upstream.
+    /// Nothing was sent.
+    pub fn into_stale(mut self, upstream: name::UpstreamName) -> RelayedRequest<Routed> {
+        self.stale_upstreams.push(upstream);
+        self.into_state(Routed(())).0
+    }
 }
 
 impl RelayedRequest<Sent> {
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -28,6 +28,12 @@
     pub plan_seconds: prometheus::Histogram,
     /// Seconds from arrival to the first response byte, by response form and priority.
     pub first_byte_seconds: prometheus::HistogramVec,
+    /// Plan requests that this planner declined because of its tables, by reason.
+    pub plan_declines: prometheus::IntCounterVec,
+    /// Planners that declined a request of this instance because of their tables.
+    pub outdated_planners: prometheus::IntCounter,
+    /// Plans that were given back because they contradict the local tables, by reason.
+    pub stale_plans: prometheus::IntCounterVec,
     /// Decisions about causes of crashes, by kind.
     pub part_decisions: prometheus::IntCounterVec,
     /// Store calls, by kind and result.
@@ -103,6 +109,20 @@
                 first_byte.buckets(FIRST_BYTE_BUCKETS.to_vec()),
                 &["form", "priority"],
             ))?,
+            plan_declines: registrar.counter_vec(
+                "limpetkeel_relay_plan_declines_total",
+                "Plan requests of other instances declined because of older tables, by reason.",
+                &["reason"],
+            )?,
+            outdated_planners: registrar.counter(
+                "limpetkeel_relay_outdated_planners_total",
+                "Planners passed over because of their older tables.",
+            )?,
+            stale_plans: registrar.counter_vec(
+                "limpetkeel_relay_stale_plans_total",
+                "Plans given back because of an upstream that must not be used, by reason.",
+                &["reason"],
+            )?,
             part_decisions: registrar.counter_vec(
                 "limpetkeel_relay_part_decisions_total",
                 "Decisions about parts of prompts and requests that may crash upstreams, by kind.",
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -31,7 +31,7 @@
     /// Applies updates to a shard of run-once records.
     ApplyRunOnce(Vec<RecordUpdate>),
     /// Requests a plan from the planner.
-    RequestPlan(PlanRequest),
+    RequestPlan(PlanRequest, Requester),
     /// Reports the state of plans to the planner.
     ReportPlan(PlanReport),
     /// Requests the snapshot if it is newer than the sender's tables.
@@ -53,7 +53,7 @@
             Request::AnnounceRevision(_) => "news",
             Request::FetchTables(_) => "tables",
             Request::ApplyRunOnce(_) => "run_once",
-            Request::RequestPlan(_) => "plan",
+            Request::RequestPlan(..) => "plan",
             Request::ReportPlan(report) => report.kind(),
             Request::WaitForChanges(_) => "follow",
             Request::FetchSnapshot(_) => "catalog",
@@ -61,6 +61,15 @@
     }
 }
 
+/// The instance that requests a plan.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Requester {
+    /// Its contact, from which the planner requests the changes that it lacks.
+    pub contact: Contact,
+    /// The time since its tables were known to be current, or `None` if they never were.
+    pub table_age: Option<Millis>,
+}
+
 /// A report to a planner about plans.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub enum PlanReport {
--- a/limpetkeeld/src/peer_handler.rs
+++ b/limpetkeeld/src/peer_handler.rs
@@ -68,7 +68,7 @@
                 message::Response::Tables(tables::snapshot(&self.shared, revision))
             }
             message::Request::ApplyRunOnce(updates) => self.run_once(updates).await,
-            message::Request::RequestPlan(_)
+            message::Request::RequestPlan(..)
             | message::Request::ReportPlan(_)
             | message::Request::FetchSnapshot(_)
             | message::Request::WaitForChanges(_) => message::Response::Unsupported,
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -2,7 +2,9 @@
 
 use std::sync;
 
-use limpetkeel::{AttemptResult, Plan, RelayedRequest, Routed, Sent, Timestamp, UpstreamName};
+use limpetkeel::{
+    AttemptResult, Plan, RelayedRequest, Routed, Sent, StalePlan, Timestamp, UpstreamName,
+};
 
 use crate::relay::{
     attempt, caller_request, drain, planning, preparation, request_summary, reservations,
@@ -12,6 +14,10 @@
 /// Number of failures to connect or to reserve memory after which a request is given up.
 const MAX_FAILED_PREPARATIONS: u32 = 5;
 
+/// Number of plans with an upstream that must not be used after which a request is given up. Plans
+/// are only stale while tables change.
+const MAX_STALE_PLANS: usize = 6;
+
 /// A request in progress. Dropping it logs the request and updates the metrics, also when the
 /// caller disconnects.
 struct ActiveRequest {
@@ -170,9 +176,24 @@
                 }
                 summary.record_attempt(&relayed);
             }
-            Err(failure) => {
-                plan_guard.record_attempt_result(&failure.at_fault, failure.attempt_result);
-                record_failed_attempt(shared, request, &failure.at_fault, failure.reason);
+            Err(preparation::PreparationFailure::Stale(stale)) => {
+                // Dropping the guard gives the plan back without an attempt result.
+                record_stale_plan(shared, request, &stale);
+                relayed = placed.into_stale(stale.upstream);
+                if relayed.stale_upstreams().len() >= MAX_STALE_PLANS {
+                    return RetryLoopOutcome::GaveUp(
+                        relayed,
+                        request_summary::FailureReason::StalePlans,
+                    );
+                }
+            }
+            Err(preparation::PreparationFailure::Unusable {
+                at_fault,
+                attempt_result,
+                reason,
+            }) => {
+                plan_guard.record_attempt_result(&at_fault, attempt_result);
+                record_failed_attempt(shared, request, &at_fault, reason);
                 relayed = placed.into_unreachable();
                 failed_preparations += 1;
                 if failed_preparations >= MAX_FAILED_PREPARATIONS {
@@ -316,6 +337,23 @@
     }
 }
 
+/// Counts and logs a plan that contradicts the local tables.
+fn record_stale_plan(
+    shared: &shared::Shared,
+    request: &caller_request::CallerRequest,
+    stale: &StalePlan,
+) {
+    let reason = stale.reason.code();
+    let stale_plans = &shared.metrics.relay.stale_plans;
+    stale_plans.with_label_values(&[reason]).inc();
+    tracing::info!(
+        event = "plan_stale",
+        request = %request.head.id,
+        upstream = %stale.upstream,
+        reason,
+    );
+}
+
 /// Counts and logs a failed attempt.
 fn record_failed_attempt(
     shared: &shared::Shared,
--- a/limpetkeeld/src/relay/peer_handler.rs
+++ b/limpetkeeld/src/relay/peer_handler.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     peer::{message, server},
-    relay::{planning, shared, store_updates, store_watch},
+    relay::{freshness, planning, shared, store_updates, store_watch},
 };
 
 /// Serves peer requests from the shared tables.
@@ -24,11 +24,15 @@
 impl server::RequestHandler for PeerHandler {
     async fn handle(&self, req: message::Request) -> message::Response {
         match req {
-            message::Request::RequestPlan(plan_request) => {
+            message::Request::RequestPlan(plan_request, requester) => {
                 if self.shared.membership.lock().local_state.is_draining() {
                     let draining = limpetkeel::Error::KeeperUnreachable;
                     return message::Response::Plan(Err(draining));
                 }
+                let awaited = freshness::await_tables(&self.shared, &plan_request, &requester);
+                if let Err(e) = awaited.await {
+                    return message::Response::Plan(Err(e));
+                }
                 message::Response::Plan(self.shared.jobs.plan(plan_request).await)
             }
             message::Request::ReportPlan(report) => {
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     peer::message,
-    relay::{jobs, shared},
+    relay::{freshness, jobs, shared},
 };
 
 /// Timeout of a plan request to a planner: an eighth of the shortest objective and ten round
@@ -214,11 +214,12 @@
         if shared.is_local(&planner) {
             break;
         }
-        let req = message::Request::RequestPlan(plan_request.clone());
+        let requester = freshness::local_requester(shared);
+        let req = message::Request::RequestPlan(plan_request.clone(), requester);
         let response = shared.peers.call(planner.address, &req, PLAN_TIMEOUT).await;
-        let now = shared.clock.now();
-        match response {
-            Ok(message::Response::Plan(Err(Error::KeeperUnreachable))) => {}
+        let is_outdated = match response {
+            Ok(message::Response::Plan(Err(Error::KeeperUnreachable))) => false,
+            Ok(message::Response::Plan(Err(Error::PlannerOutdated))) => true,
             Ok(message::Response::Plan(planned)) => {
                 shared
                     .membership
@@ -227,19 +228,9 @@
                     .record_response(&planner.name);
                 return planned.map(|plan| (plan, Some(planner)));
             }
-            Ok(_) | Err(_) => {}
-        }
-        shared
-            .membership
-            .lock()
-            .instances
-            .record_failure(now, &planner.name);
-        tracing::info!(
-            event = "planner_passed_over",
-            planner = %planner.name,
-            pool = %plan_request.pool,
-            request,
-        );
+            Ok(_) | Err(_) => false,
+        };
+        pass_over(shared, plan_request, &planner, is_outdated, request);
         // Every other instance may be without a planner as well.
         planner_count = shared.membership.lock().instances.len() as u32;
     }
@@ -251,6 +242,39 @@
     Ok((plan, None))
 }
 
+/// Records that a planner did not plan, because it is unreachable or its tables are outdated.
+fn pass_over(
+    shared: &shared::Shared,
+    plan_request: &PlanRequest,
+    planner: &Contact,
+    is_outdated: bool,
+    request: &str,
+) {
+    let now = shared.clock.now();
+    {
+        let instances = &mut shared.membership.lock().instances;
+        if is_outdated {
+            instances.record_outdated(now, &planner.name);
+        } else {
+            instances.record_failure(now, &planner.name);
+        }
+    }
+    let reason = if is_outdated {
+        shared.metrics.relay.outdated_planners.inc();
+        "outdated"
+    } else {
+        "unreachable"
+    };
+    tracing::info!(
+        event = "planner_passed_over",
+        planner = %planner.name,
+        pool = %plan_request.pool,
+        request,
+        reason,
+        known = %plan_request.known_revision,
+    );
+}
+
 /// Transfers active plans to the latest planner of their pool, until the process ends.
 ///
 /// A new planner does not know the plans of its predecessor until they are reported.
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -4,8 +4,8 @@
 use std::{mem, sync, time};
 
 use limpetkeel::{
-    AttemptResult, Error, Millis, PlacedRelayedRequest, Plan, PlanRequest, RelayedRequest,
-    RequestId, Revision, Routed, UpstreamName,
+    AttemptResult, Error, Millis, PlacedRelayedRequest, Plan, PlanProcesses, PlanRequest, PoolName,
+    RelayedRequest, RequestId, Routed, StalePlan, UpstreamName,
 };
 
 use crate::relay::{
@@ -27,13 +27,18 @@
 const MAX_CAPACITY_WAIT: Millis = Millis(2_000);
 
 /// The reason why a plan could not be used.
-pub struct PreparationFailure {
-    /// The upstream at fault.
-    pub at_fault: UpstreamName,
-    /// The result that is reported to the planner.
-    pub attempt_result: AttemptResult,
-    /// The reason used in metrics and logs.
-    pub reason: &'static str,
+pub enum PreparationFailure {
+    /// An upstream could not be used.
+    Unusable {
+        /// The upstream at fault.
+        at_fault: UpstreamName,
+        /// The result that is reported to the planner.
+        attempt_result: AttemptResult,
+        /// The reason used in metrics and logs.
+        reason: &'static str,
+    },
+    /// The plan contradicts the local tables.
+    Stale(StalePlan),
 }
 
 /// Obtains a plan. While the pool has no upstream or no helper, waits for a share of the objective. A
@@ -55,6 +60,10 @@
     loop {
         drain::limit_deadline(shared, relayed);
         let now = shared.clock.now();
+        let pool = &relayed.info().pool;
+        let mut unavailable_upstreams = availability::unavailable_upstreams(shared, pool);
+        unavailable_upstreams.extend_from_slice(relayed.stale_upstreams());
+        let known_revision = shared.tables.lock().known_revision(pool);
         let plan_request = PlanRequest {
             id: RequestId(rand::random()),
             pool: relayed.info().pool.clone(),
@@ -66,13 +75,10 @@
             waiting_id: request.waiting_id,
             waited: now.since(relayed.received()),
             excluded_upstreams: relayed.tried_upstreams().to_vec(),
-            unavailable_upstreams: availability::unavailable_upstreams(
-                shared,
-                &relayed.info().pool,
-            ),
+            unavailable_upstreams,
             limits: availability::limit_notices(shared, &relayed.info().pool),
             planners: 1,
-            known_revision: Revision::default(),
+            known_revision,
         };
         let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
             Ok(planned) => return Ok(planned),
@@ -129,11 +135,14 @@
     placed: &RelayedRequest<PlacedRelayedRequest>,
 ) -> Result<(reservations::HelperGroup, upstream::Connection), PreparationFailure> {
     let plan = placed.plan();
+    let pool = &placed.info().pool;
+    let mut processes = PlanProcesses::default();
+    check_tables(shared, pool, plan, &mut processes)?;
     check_available(shared, plan)?;
     let reserving = reservations::HelperGroup::reserve(shared, plan.id, &plan.helpers);
     let connecting = upstream::Connection::open(plan.lead.address);
     let (group, connection) = tokio::join!(reserving, connecting);
-    let failure = |at_fault, attempt_result| PreparationFailure {
+    let failure = |at_fault, attempt_result| PreparationFailure::Unusable {
         at_fault,
         attempt_result,
         reason: "not_connected",
@@ -144,10 +153,29 @@
         reservations::Error::Refused(name) => failure(name, AttemptResult::Declined),
         reservations::Error::NoResponse(name) => failure(name, AttemptResult::Unreachable),
     })?;
+    check_tables(shared, pool, plan, &mut processes)?;
     check_available(shared, plan)?;
     Ok((group, connection))
 }
 
+/// Checks that a plan does not contradict the tables of this instance, which may be newer than those
+/// of its planner.
+///
+/// # Errors
+///
+/// Returns the first upstream that must not be used.
+fn check_tables(
+    shared: &shared::Shared,
+    pool: &PoolName,
+    plan: &Plan,
+    processes: &mut PlanProcesses,
+) -> Result<(), PreparationFailure> {
+    let tables = shared.tables.lock();
+    processes
+        .check(&tables.upstreams, pool, plan)
+        .map_err(PreparationFailure::Stale)
+}
+
 /// Checks that all upstreams of a plan accept requests from this instance.
 ///
 /// # Errors
@@ -158,7 +186,7 @@
     let Some(name) = availability::find_unavailable(shared, plan) else {
         return Ok(());
     };
-    Err(PreparationFailure {
+    Err(PreparationFailure::Unusable {
         at_fault: name.clone(),
         attempt_result: AttemptResult::Inconclusive,
         reason: "unavailable",
--- a/limpetkeeld/src/relay/request_summary.rs
+++ b/limpetkeeld/src/relay/request_summary.rs
@@ -30,6 +30,8 @@
     },
     /// Connecting to upstreams or reserving memory on them failed too often.
     Unreachable,
+    /// Every plan contained an upstream that the local tables rule out.
+    StalePlans,
     /// A retry is not allowed.
     NoRetry(NoRetryReason),
     /// The shared retry budget is exhausted.
@@ -59,6 +61,7 @@
             FailureReason::RequestQuarantined => "request_quarantined",
             FailureReason::NoCapacity { .. } => "no_capacity",
             FailureReason::Unreachable => "unreached",
+            FailureReason::StalePlans => "stale_plans",
             FailureReason::NoRetry(NoRetryReason::MayHaveRun) => "may_have_run",
             FailureReason::NoRetry(NoRetryReason::MaxSendsReached) => "sends_used",
             FailureReason::NoRetry(NoRetryReason::DeadlineTooClose) => "out_of_time",
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -7,7 +7,7 @@
     PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision,
     StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability, UpstreamRegistry,
 };
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -27,6 +27,8 @@
     pub quarantines: QuarantineList,
     /// The revision up to which all changes have been applied.
     pub revision: Revision,
+    /// The revision at which the routing table was last replaced, after the first snapshot.
+    pub ingress_changed_at: Revision,
     /// The latest changes, for peers that follow this instance.
     pub change_log: StoreChangeLog,
     /// The source of changes, and the age of the tables.
@@ -46,6 +48,7 @@
             upstreams: UpstreamRegistry::default(),
             quarantines: QuarantineList::default(),
             revision: Revision::default(),
+            ingress_changed_at: Revision::default(),
             change_log: StoreChangeLog::default(),
             follower: StoreFollower::new(local),
             disconnected_since: None,
@@ -54,6 +57,17 @@
     }
 }
 
+impl Tables {
+    /// Returns the revision of the latest change that concerns the placement of requests to a pool.
+    /// The planner of such a request must know it.
+    pub fn known_revision(&self, pool: &PoolName) -> Revision {
+        self.upstreams
+            .changed_at(pool)
+            .max(self.quarantines.changed_at())
+            .max(self.ingress_changed_at)
+    }
+}
+
 /// The instance registry and the life cycle of the local instance.
 #[derive(Debug)]
 pub struct Membership {
@@ -112,6 +126,8 @@
     pub quarantine_queued: Notify,
     /// Notified when the tables have changed to a later era of the store.
     pub era_changed: Notify,
+    /// Has one permit, which is held while changes are requested that the local planner lacks.
+    pub catch_up: sync::Arc<Semaphore>,
     /// Cancelled when the instance starts to drain.
     pub draining: CancellationToken,
     /// Cancelled when the instance stops accepting connections.
@@ -169,6 +185,7 @@
             planner_changed: Notify::new(),
             quarantine_queued: Notify::new(),
             era_changed: Notify::new(),
+            catch_up: sync::Arc::new(Semaphore::new(1)),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
             tables: OrderedMutex::new(LockLevel::Tables, Tables::new(&settings.instance)),
--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -74,7 +74,7 @@
     if snapshot.revision < tables.revision {
         log_outdated("snapshot", snapshot.revision, &tables);
         if let Some(declaration) = snapshot.ingress {
-            apply_ingress(&mut tables, declaration);
+            apply_ingress(&mut tables, declaration, snapshot.revision);
         }
         return;
     }
@@ -112,7 +112,12 @@
         tables.change_log.append(&changes);
     }
     if let Some(declaration) = snapshot.ingress {
-        apply_ingress(&mut tables, declaration);
+        // The first table is no change: whoever has none plans nothing.
+        let changed_at = match tables.ingress.version() {
+            0 => Revision::default(),
+            _ => snapshot.revision,
+        };
+        apply_ingress(&mut tables, declaration, changed_at);
     }
     tables
         .upstreams
@@ -149,7 +154,7 @@
     }
     tables.change_log.append(&changes);
     for (change, removal) in changes.changes {
-        apply_change(shared, &mut tables, now, change, removal);
+        apply_change(shared, &mut tables, now, change, changes.revision, removal);
     }
     tables.upstreams.remove_expired(now);
     tables.quarantines.advance(changes.revision);
@@ -157,15 +162,17 @@
     go_live_if_ready(&tables, &mut shared.membership.lock());
 }
 
+/// Applies one of the changes that are complete up to a revision.
 fn apply_change(
     shared: &shared::Shared,
     tables: &mut shared::Tables,
     now: Timestamp,
     change: StoreChange,
+    complete_at: Revision,
     removal: Removal,
 ) {
     match change {
-        StoreChange::Ingress(declaration) => apply_ingress(tables, declaration),
+        StoreChange::Ingress(declaration) => apply_ingress(tables, declaration, complete_at),
         StoreChange::Upstream(entry) => {
             tracing::info!(
                 event = "upstream_listed",
@@ -256,10 +263,14 @@
 fn apply_ingress(
     tables: &mut shared::Tables,
     declaration: sync::Arc<limpetkeel::IngressDeclaration>,
+    changed_at: Revision,
 ) {
     let version = declaration.version;
     match tables.ingress.replace_if_newer(declaration) {
-        Ok(true) => tracing::info!(event = "routes_in_force", version),
+        Ok(true) => {
+            tables.ingress_changed_at = tables.ingress_changed_at.max(changed_at);
+            tracing::info!(event = "routes_in_force", version);
+        }
         Ok(false) => {}
         Err(e) => tracing::warn!(event = "routes_refused", version, error = %e),
     }
