--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -106,7 +106,7 @@
     UpstreamName, WorkspaceName,
 };
 pub use plan::{AttemptResult, Helper, Plan, PlanRequest, PlanResult, ReportedPlan};
-pub use planner::{FreeMemory, Planner};
+pub use planner::{EjectionDecision, EjectionDecisionKind, EjectionReason, FreeMemory, Planner};
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
 pub use quarantine_list::{
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -31,6 +31,8 @@
     pub unavailable_upstreams: Vec<name::UpstreamName>,
     /// The announcements of request limits that the instance has received.
     pub limits: Vec<request_limit::LimitNotice>,
+    /// Whether the request may be sent again if this plan fails.
+    pub repeatable: bool,
     /// The number of planners that may plan for the pool without knowing each other's plans.
     pub planners: u32,
 }
@@ -66,13 +68,15 @@
     Unreachable,
     /// The upstream declined the request, or another upstream reported it as faulty.
     Declined,
-    /// The upstream failed or stopped sending.
+    /// The upstream sent an error or a malformed response, or the connection broke.
     Failed,
     /// The connection broke before the response began.
     Crashed,
     /// The result says nothing about the upstream, since the caller disconnected or another
     /// upstream failed.
     Inconclusive,
+    /// The upstream sent no response in time, or stopped sending.
+    Silent,
 }
 
 /// A report that a plan, or one attempt of it, has ended.
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -14,6 +14,8 @@
 //! first.
 
 mod delay;
+mod ejection;
+mod evidence;
 mod health;
 mod helpers;
 mod ledger;
@@ -28,6 +30,7 @@
 
 use std::collections;
 
+pub use ejection::{EjectionDecision, EjectionDecisionKind, Reason as EjectionReason};
 pub use memory::FreeMemory;
 
 use crate::{crash_screening, engine, error, grant, name, plan, unit, upstream_registry};
@@ -85,6 +88,7 @@
     /// How much later than computed the responses to long prompts begin.
     prefill_delay: delay::Delay,
     request_limits: request_limits::RequestLimits,
+    ejections: ejection::Ejections,
     registry_generation: Option<u64>,
     quarantine_generation: Option<u64>,
 }
@@ -107,6 +111,7 @@
                 prefill_queue::DELAY_HALF_LIFE_MS,
             ),
             request_limits: request_limits::RequestLimits::default(),
+            ejections: ejection::Ejections::default(),
             registry_generation: None,
             quarantine_generation: None,
         }
@@ -138,6 +143,7 @@
                 .or_insert_with(|| upstream::Upstream::new(entry));
         }
         self.prefill_set.set_upstreams(self.upstreams.values());
+        self.ejections.set_upstreams(&self.upstreams);
     }
 
     /// Sets the timing of the pool's engines and the shortest gap that a streaming route allows.
@@ -173,6 +179,21 @@
         self.waiting.remove_expired(now);
         self.apply_limit_notices(now, request);
         let isolation = self.screen(now, request)?;
+        let isolated;
+        let request = match isolation {
+            screening::Isolation::None => request,
+            // An upstream that is on trial itself would say nothing about the cause.
+            screening::Isolation::Trial => {
+                isolated = plan::PlanRequest {
+                    repeatable: false,
+                    ..request.clone()
+                };
+                &isolated
+            }
+        };
+        if request.repeatable {
+            self.ejections.record_repeatable(now);
+        }
         self.check_request_limits(now, request)?;
         let plan = match self.timing {
             Some(timing) if self.is_long(request.size.prompt) => {
@@ -197,6 +218,10 @@
             response_begun: false,
         };
         self.record_plan(now, &reported_plan);
+        let lead = &reported_plan.plan.lead.upstream;
+        if self.ejections.is_due(now, lead, request.repeatable) {
+            self.ejections.begin_trial(lead, reported_plan.plan.id);
+        }
         if isolation == screening::Isolation::Trial {
             self.begin_trial(&reported_plan);
         }
@@ -225,6 +250,11 @@
             let decodes_long = upstream.stream_count_of(upstream::PromptLength::Long) > 0;
             cost + self.failure_and_zone_cost(now, upstream, request)
                 + isolation_cost(upstream, isolation)
+                + if self.would_be_trial(now, request, upstream) {
+                    -ejection::TRIAL_GAIN_MS
+                } else {
+                    0.0
+                }
                 + if self.request_limits.is_outdated(now, upstream.name()) {
                     -OUTDATED_LIMIT_GAIN_MS
                 } else {
@@ -269,11 +299,14 @@
             return;
         };
         let (health, limits) = (&self.health, &self.request_limits);
+        let ejections = &self.ejections;
         let zone = &request.availability_zone;
         let reachable = prefill_set::ReachableUpstreams {
             upstreams: &self.upstreams,
             is_reachable: &|upstream| {
-                is_available(request, upstream) && health.is_reliable(now, zone, upstream)
+                is_available(request, upstream)
+                    && health.is_reliable(now, zone, upstream)
+                    && ejections.is_serving(upstream.name())
             },
             is_limited: &|name| limits.is_limited(name),
         };
@@ -284,8 +317,8 @@
     /// Returns the available and reachable upstreams that the request has not tried yet.
     ///
     /// If every such upstream has been tried, returns all of them. If none is reachable,
-    /// reachability is ignored. Unavailable upstreams, and those whose request limit is reached, are
-    /// never returned.
+    /// reachability is ignored. Unavailable upstreams, those whose request limit is reached and, while
+    /// another one is reachable, ejected ones are never returned.
     fn candidates<'a>(
         &'a self,
         now: unit::Timestamp,
@@ -297,8 +330,11 @@
         let untried =
             |upstream: &&upstream::Upstream| !request.excluded_upstreams.contains(upstream.name());
         let available = self.upstreams.values();
+        let any_in_service = self.reaches_any_in_service(now, request);
         let available = available.filter(move |upstream| {
-            is_available(request, upstream) && self.request_limits.allows(now, upstream.name())
+            is_available(request, upstream)
+                && self.request_limits.allows(now, upstream.name())
+                && (!any_in_service || self.admits(now, request, upstream))
         });
         let any_untried = available
             .clone()
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -71,6 +71,8 @@
         let pair = (path.from.clone(), path.zone.clone());
         match result {
             plan::AttemptResult::Inconclusive => return,
+            // Silence does not show that the upstream was reached.
+            plan::AttemptResult::Silent => {}
             plan::AttemptResult::Unreachable => {
                 self.record_unreachable(now, pair, path.upstream);
                 return;
@@ -82,9 +84,9 @@
         let rate = self.failure_rate(now, path.upstream);
         let rate = match result {
             plan::AttemptResult::Declined => rate + (1.0 - rate) * DECLINED_WEIGHT,
-            plan::AttemptResult::Failed | plan::AttemptResult::Crashed => {
-                rate + (1.0 - rate) * ATTEMPT_WEIGHT
-            }
+            plan::AttemptResult::Failed
+            | plan::AttemptResult::Crashed
+            | plan::AttemptResult::Silent => rate + (1.0 - rate) * ATTEMPT_WEIGHT,
             _ => rate - rate * ATTEMPT_WEIGHT,
         };
         self.failure_rates
@@ -137,6 +139,33 @@
             .exp()
     }
 
+    /// Returns `true` if requests from one zone skip another one, which could not be reached.
+    pub(super) fn is_partitioned(
+        &self,
+        now: unit::Timestamp,
+        from: &name::AvailabilityZoneName,
+        zone: &name::AvailabilityZoneName,
+    ) -> bool {
+        if self.unreachable.is_empty() || from == zone {
+            return false;
+        }
+        let cooldowns = self.unreachable.get(&(from.clone(), zone.clone()));
+        cooldowns.is_some_and(|cooldowns| {
+            let current = cooldowns.values().filter(|until| **until > now);
+            current.count() >= PARTITION_THRESHOLD
+        })
+    }
+
+    /// Returns `true` if a zone is partitioned from another one, in either direction.
+    pub(super) fn is_cut_off(
+        &self,
+        now: unit::Timestamp,
+        zone: &name::AvailabilityZoneName,
+    ) -> bool {
+        let mut pairs = self.unreachable.keys();
+        pairs.any(|(from, to)| (from == zone || to == zone) && self.is_partitioned(now, from, to))
+    }
+
     /// Returns `true` if an upstream is considered reachable from a zone.
     pub(super) fn is_reachable(
         &self,
--- a/limpetkeel/src/planner/helpers.rs
+++ b/limpetkeel/src/planner/helpers.rs
@@ -171,6 +171,7 @@
         let zone = &request.availability_zone;
         planner::is_available(request, upstream)
             && self.health.is_reliable(now, zone, upstream)
+            && self.ejections.is_serving(upstream.name())
             && self.health.failure_rate(now, upstream.name()) < MAX_FAILURE_RATE
     }
 
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     crash_cause, crash_screening, grant, name, plan,
-    planner::{self, health, upstream},
+    planner::{self, evidence, health, upstream},
     request_size, unit,
 };
 
@@ -39,6 +39,10 @@
     /// The process of the lead, unless it was unknown or draining.
     pub(super) lead: Option<crash_screening::UpstreamLifetime>,
     pub(super) response_begun: bool,
+    /// The time after which a response that has not begun is slow.
+    pub(super) slow_after: unit::Millis,
+    /// Whether the response began late.
+    pub(super) was_slow: bool,
 }
 
 impl PlanRecord {
@@ -139,6 +143,11 @@
             causes: reported_plan.causes.clone(),
             lead: lead_lifetime,
             response_begun: reported_plan.response_begun,
+            slow_after: evidence::slow_after(
+                plan.estimate.0 as f64 - lead.map_or(0.0, |lead| lead.delay_ms(now)),
+                reported_plan.objective.first_event,
+            ),
+            was_slow: false,
         };
         self.plans.insert(plan.id, record);
     }
@@ -148,6 +157,7 @@
     /// An engine that took longer than estimated is slow or has unaccounted work. The delay is
     /// added to its estimates and decays over time.
     pub fn record_response_begun(&mut self, now: unit::Timestamp, id: grant::RequestId) {
+        self.weigh_start(now, id);
         let Some(record) = self.plans.get_mut(&id) else {
             return;
         };
@@ -176,6 +186,15 @@
 
     /// Records the result of an attempt and releases the resources of its plan.
     pub fn record_result(&mut self, now: unit::Timestamp, plan_result: &plan::PlanResult) {
+        self.record_failure(now, plan_result);
+        self.screen_result(now, plan_result);
+        self.release(now, plan_result.id, plan_result.response_begun);
+    }
+
+    /// Records the result of an attempt whose plan keeps its resources, such as a stream that has
+    /// stopped and may go on.
+    pub fn record_failure(&mut self, now: unit::Timestamp, plan_result: &plan::PlanResult) {
+        self.weigh_result(now, plan_result);
         let zone = self
             .upstreams
             .get(&plan_result.upstream)
@@ -188,8 +207,6 @@
             };
             self.health.record(now, path, plan_result.result);
         }
-        self.screen_result(now, plan_result);
-        self.release(now, plan_result.id, plan_result.response_begun);
     }
 
     /// Releases the resources of a plan. Unless the prompt was `prefilled`, its prefill is removed
@@ -199,6 +216,9 @@
             return;
         };
         self.screening.end_trial(id, &record.causes);
+        if let Some(lead) = record.participants.last() {
+            self.ejections.end_trial(now, lead, id);
+        }
         for name in &record.participants {
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.release(id);
--- a/limpetkeel/src/planner/request_limits.rs
+++ b/limpetkeel/src/planner/request_limits.rs
@@ -156,8 +156,11 @@
     ) -> error::Result<()> {
         self.request_limits.waiting.remove_expired(now);
         let upstreams = self.upstreams.values();
-        let available = upstreams
-            .filter(|upstream: &&upstream::Upstream| planner::is_available(request, upstream));
+        let any_in_service = self.reaches_any_in_service(now, request);
+        let available = upstreams.filter(|upstream: &&upstream::Upstream| {
+            planner::is_available(request, upstream)
+                && (!any_in_service || self.admits(now, request, upstream))
+        });
         let mut waits_ms = Vec::new();
         let mut per_ms = 0.0;
         for upstream in available {
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -126,6 +126,16 @@
         self.streams.len()
     }
 
+    /// Returns `true` if the planned streams use all slots.
+    pub(super) fn is_full(&self) -> bool {
+        self.stream_count() >= self.entry.slots.max(1) as usize
+    }
+
+    /// Returns how much later than estimated responses begin, in milliseconds.
+    pub(super) fn delay_ms(&self, now: unit::Timestamp) -> f64 {
+        self.delay.ms(now)
+    }
+
     /// Returns the number of streams whose prompts have the given length.
     pub(super) fn stream_count_of(&self, prompt_length: PromptLength) -> usize {
         let streams = self.streams.values();
--- a/limpetkeel/src/relayed_request.rs
+++ b/limpetkeel/src/relayed_request.rs
@@ -103,6 +103,12 @@
         &self.tried_upstreams
     }
 
+    /// Returns `true` if the request may be sent again after its next attempt, should that fail.
+    pub fn is_repeatable(&self) -> bool {
+        self.info.retry_policy != ingress::RetryPolicy::Never
+            && self.send_count + 1 < self.info.max_sends
+    }
+
     /// Returns the outcome that is reported to the caller if the request ends now without a
     /// response.
     pub fn outcome(&self) -> error::Outcome {
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -42,6 +42,12 @@
     pub capacity_waits: prometheus::IntCounter,
     /// Changes of the request limits that upstreams announce.
     pub limit_changes: prometheus::IntCounter,
+    /// Upstreams that the local planners have ejected, by reason.
+    pub ejections: prometheus::IntCounterVec,
+    /// Upstreams that the local planners have returned to service, by reason.
+    pub restorations: prometheus::IntCounterVec,
+    /// Upstreams that are ejected by the local planners, by pool.
+    pub ejected_upstreams: prometheus::IntGaugeVec,
     /// Log lines dropped because the log queue was full.
     pub dropped_log_lines: prometheus::IntGauge,
 }
@@ -122,6 +128,23 @@
                 "Upstreams that said that they accept no requests, by reason.",
                 &["reason"],
             )?,
+            ejections: registrar.counter_vec(
+                "limpetkeel_relay_ejections_total",
+                "Upstreams that were ejected since they failed, by reason.",
+                &["reason"],
+            )?,
+            restorations: registrar.counter_vec(
+                "limpetkeel_relay_restorations_total",
+                "Ejected upstreams that returned to service, by reason.",
+                &["reason"],
+            )?,
+            ejected_upstreams: registrar.register(prometheus::IntGaugeVec::new(
+                prometheus::Opts::new(
+                    "limpetkeel_relay_ejected_upstreams",
+                    "Upstreams that the local planners have ejected, by pool.",
+                ),
+                &["pool"],
+            ))?,
             dropped_log_lines: registrar.gauge(
                 "limpetkeel_log_lines_left_out",
                 "Log lines left out since the start because their queue was full.",
--- a/limpetkeeld/src/peer.rs
+++ b/limpetkeeld/src/peer.rs
@@ -14,7 +14,7 @@
 
 /// The version of the peer protocol. A peer with another version is refused, and the error contains
 /// its version.
-pub const VERSION: u32 = 6;
+pub const VERSION: u32 = 7;
 
 /// The maximum length of a message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -70,6 +70,8 @@
     ResponseBegun(PoolName, RequestId),
     /// A plan has ended.
     PlanEnded(PlanResult),
+    /// An attempt has failed, and its plan goes on.
+    AttemptFailed(PlanResult),
 }
 
 impl PlanReport {
@@ -79,6 +81,7 @@
             PlanReport::ActivePlans(_) => "assert_plans",
             PlanReport::ResponseBegun(..) => "begun",
             PlanReport::PlanEnded(_) => "settle",
+            PlanReport::AttemptFailed(_) => "attempt_failed",
         }
     }
 }
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -254,7 +254,7 @@
             return AttemptOutcome::Retry(sent.into_declined(at_fault));
         }
         Err(attempt::Failure::Stalled(stream)) => {
-            plan_guard.record_attempt_result(&lead, AttemptResult::Failed);
+            plan_guard.report_silence(&lead);
             record_failed_attempt(shared, request, &lead, "silent");
             let plan = sent.plan().clone();
             *standby = Some(stream::Standby {
@@ -273,6 +273,9 @@
             plan_guard.report().await;
             return AttemptOutcome::Retry(sent.into_failed());
         }
+        Err(attempt::Failure::Failed(attempt::Cause::TimedOut)) => {
+            (lead, AttemptResult::Silent, attempt::Cause::TimedOut.code())
+        }
         Err(attempt::Failure::Failed(cause)) => (lead, AttemptResult::Failed, cause.code()),
     };
     plan_guard.record_attempt_result(&at_fault, attempt_result);
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -4,8 +4,8 @@
 use std::collections;
 
 use limpetkeel::{
-    CauseDecision, Error, Plan, PlanRequest, PlanResult, Planner, PoolName, QuarantineUpdate,
-    ReportedPlan, RequestId, Timestamp,
+    CauseDecision, EjectionDecision, Error, Plan, PlanRequest, PlanResult, Planner, PoolName,
+    QuarantineUpdate, ReportedPlan, RequestId, Timestamp,
 };
 
 use crate::{
@@ -20,7 +20,12 @@
             apply_reported_plans(shared, reported_plans)
         }
         message::PlanReport::ResponseBegun(pool, id) => apply_response_begun(shared, pool, *id),
-        message::PlanReport::PlanEnded(plan_result) => apply_plan_result(shared, plan_result),
+        message::PlanReport::PlanEnded(plan_result) => {
+            apply_plan_result(shared, plan_result, Planner::record_result)
+        }
+        message::PlanReport::AttemptFailed(plan_result) => {
+            apply_plan_result(shared, plan_result, Planner::record_failure)
+        }
     }
 }
 
@@ -77,9 +82,9 @@
     if let Err(Error::NoCapacity { .. }) = planned {
         log_free_memory(planner, plan_request);
     }
-    let screened = take_screened(planner);
+    let decisions = take_decisions(planner);
     drop((planners, tables));
-    publish_screened(shared, &plan_request.pool, screened);
+    publish_decisions(shared, &plan_request.pool, decisions);
     planned
 }
 
@@ -102,27 +107,32 @@
     );
 }
 
-/// What a planner has decided about causes of crashes.
-struct Screened {
-    decisions: Vec<CauseDecision>,
+/// What a planner has decided about causes of crashes and about failing upstreams.
+struct Decisions {
+    screened: Vec<CauseDecision>,
     updates: Vec<QuarantineUpdate>,
+    ejections: Vec<EjectionDecision>,
 }
 
-/// Takes what a planner has decided about causes of crashes since the last call.
-fn take_screened(planner: &mut Planner) -> Screened {
-    Screened {
-        decisions: planner.take_cause_decisions(),
+/// Takes what a planner has decided since the last call.
+fn take_decisions(planner: &mut Planner) -> Decisions {
+    Decisions {
+        screened: planner.take_cause_decisions(),
         updates: planner.take_quarantine_updates(),
+        ejections: planner.take_ejection_decisions(),
     }
 }
 
 /// Logs and counts the decisions of a local planner, and publishes its quarantines. The caller must
 /// not hold a lock.
-fn publish_screened(shared: &shared::Shared, pool: &PoolName, screened: Screened) {
-    for update in screened.updates {
+fn publish_decisions(shared: &shared::Shared, pool: &PoolName, decisions: Decisions) {
+    for update in decisions.updates {
         quarantine::publish(shared, update);
     }
-    for decision in screened.decisions {
+    for decision in decisions.ejections {
+        publish_ejection(shared, pool, &decision);
+    }
+    for decision in decisions.screened {
         let code = decision.kind.code();
         let relay = &shared.metrics.relay;
         relay.part_decisions.with_label_values(&[code]).inc();
@@ -136,21 +146,54 @@
     }
 }
 
+/// Logs and counts that an upstream was ejected or returned to service.
+fn publish_ejection(shared: &shared::Shared, pool: &PoolName, decision: &EjectionDecision) {
+    let relay = &shared.metrics.relay;
+    let reason = decision.kind.code();
+    relay
+        .ejected_upstreams
+        .with_label_values(&[pool.as_str()])
+        .set(decision.ejected as i64);
+    if decision.kind.is_ejection() {
+        relay.ejections.with_label_values(&[reason]).inc();
+        tracing::info!(
+            event = "upstream_ejected",
+            pool = %pool,
+            upstream = %decision.upstream,
+            reason,
+            ejected = decision.ejected,
+        );
+    } else {
+        relay.restorations.with_label_values(&[reason]).inc();
+        tracing::info!(
+            event = "upstream_restored",
+            pool = %pool,
+            upstream = %decision.upstream,
+            reason,
+            ejected = decision.ejected,
+        );
+    }
+}
+
 /// Applies the start of a response to the local planner.
 fn apply_response_begun(shared: &shared::Shared, pool: &PoolName, id: RequestId) {
     let now = shared.clock.now();
-    let screened = match shared.planners.lock().get_mut(pool) {
+    let decisions = match shared.planners.lock().get_mut(pool) {
         Some(planner) => {
             planner.record_response_begun(now, id);
-            take_screened(planner)
+            take_decisions(planner)
         }
         None => return,
     };
-    publish_screened(shared, pool, screened);
+    publish_decisions(shared, pool, decisions);
 }
 
 /// Applies a plan result to the local planner.
-fn apply_plan_result(shared: &shared::Shared, plan_result: &PlanResult) {
+fn apply_plan_result(
+    shared: &shared::Shared,
+    plan_result: &PlanResult,
+    record: fn(&mut Planner, Timestamp, &PlanResult),
+) {
     let now = shared.clock.now();
     let tables = shared.tables.lock();
     let mut planners = shared.planners.lock();
@@ -159,10 +202,10 @@
     }
     // The planner needs the current upstreams to tell a crash from a planned stop.
     let planner = current_planner(now, &tables, &mut planners, &plan_result.pool);
-    planner.record_result(now, plan_result);
-    let screened = take_screened(planner);
+    record(planner, now, plan_result);
+    let decisions = take_decisions(planner);
     drop((planners, tables));
-    publish_screened(shared, &plan_result.pool, screened);
+    publish_decisions(shared, &plan_result.pool, decisions);
 }
 
 /// Releases a plan whose requester has stopped waiting.
@@ -170,5 +213,6 @@
     apply_plan_result(
         shared,
         &planning::neutral_plan_result(shared, &plan_request.pool, plan, false),
+        Planner::record_result,
     );
 }
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -61,6 +61,24 @@
         self.plan_result.result = attempt_result;
     }
 
+    /// Reports that an upstream of the plan has stopped sending. The plan goes on, since its stream
+    /// may be continued.
+    pub fn report_silence(&self, upstream: &UpstreamName) {
+        let plan_result = PlanResult {
+            upstream: upstream.clone(),
+            result: AttemptResult::Silent,
+            ..self.plan_result.clone()
+        };
+        let planner = {
+            let requests = self.shared.requests.lock();
+            let active = requests.plans.get(&plan_result.id);
+            active.and_then(|active| active.planner.clone())
+        };
+        let report = message::PlanReport::AttemptFailed(plan_result);
+        // The report is sent in the background.
+        let _ = send_plan_report(&self.shared, planner, report);
+    }
+
     /// Records that an upstream of the plan sent a complete response.
     pub fn record_success(&mut self, upstream: &UpstreamName) {
         self.plan_result.response_begun = true;
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -9,7 +9,8 @@
 };
 
 use crate::relay::{
-    availability, caller_request, drain, planning, request_summary, reservations, shared, upstream,
+    availability, caller_request, drain, planning, request_summary, reservations, retry_budget,
+    shared, upstream,
 };
 
 /// Time between plan requests while the pool has no capacity.
@@ -71,6 +72,7 @@
                 &relayed.info().pool,
             ),
             limits: availability::limit_notices(shared, &relayed.info().pool),
+            repeatable: retry_budget::is_repeatable(shared, relayed),
             planners: 1,
         };
         let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
--- a/limpetkeeld/src/relay/retry_budget.rs
+++ b/limpetkeeld/src/relay/retry_budget.rs
@@ -1,6 +1,6 @@
 //! The retry budget shared by all requests of a pool.
 
-use limpetkeel::{PlacedRelayedRequest, RelayedRequest, Sent};
+use limpetkeel::{PlacedRelayedRequest, RelayedRequest, Routed, Sent};
 
 use crate::relay::shared;
 
@@ -19,6 +19,21 @@
     allowed && relayed.check_send(now).is_ok()
 }
 
+/// Returns `true` if the request may be sent again, should its next attempt fail.
+pub fn is_repeatable(shared: &shared::Shared, relayed: &RelayedRequest<Routed>) -> bool {
+    if !relayed.is_repeatable() {
+        return false;
+    }
+    let now = shared.clock.now();
+    let limit = shared.retry_limit();
+    let instances = shared.membership.lock().instances.len();
+    let mut retry_windows = shared.retry_windows.lock();
+    let window = retry_windows
+        .entry(relayed.info().pool.clone())
+        .or_default();
+    window.allows(now, &limit, instances)
+}
+
 /// Records a first send, or deducts a retry from the pool's budget.
 ///
 /// # Errors
