--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -109,7 +109,7 @@
 };
 pub use plan::{AttemptResult, Helper, Plan, PlanRequest, PlanResult, ReportedPlan};
 pub use plan_check::{PlanProcesses, StalePlan, StaleReason};
-pub use planner::{FreeMemory, Planner};
+pub use planner::{EjectionDecision, EjectionDecisionKind, EjectionReason, FreeMemory, Planner};
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
 pub use quarantine_list::{
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -9,7 +9,8 @@
 };
 
 use crate::relay::{
-    availability, caller_request, drain, planning, request_summary, reservations, shared, upstream,
+    availability, caller_request, drain, planning, request_summary, reservations, retry_budget,
+    shared, upstream,
 };
 
 /// Time between plan requests while the pool has no capacity.
@@ -77,6 +78,7 @@
             excluded_upstreams: relayed.tried_upstreams().to_vec(),
             unavailable_upstreams,
             limits: availability::limit_notices(shared, &relayed.info().pool),
+            repeatable: retry_budget::is_repeatable(shared, relayed),
             planners: 1,
             known_revision,
         };
