--- a/limpetkeel/tests/planner_ejection.rs
+++ b/limpetkeel/tests/planner_ejection.rs
@@ -100,7 +100,7 @@
                 self.response_ms + ms,
                 AttemptResult::Succeeded,
             ),
-            Fault::Flap if now / 1_400 % 2 == 0 => (u64::MAX, 5, AttemptResult::Failed),
+            Fault::Flap if (now / 1_400).is_multiple_of(2) => (u64::MAX, 5, AttemptResult::Failed),
             Fault::Share(_) | Fault::Flap => sound,
         }
     }
