--- a/limpetkeel/src/planner/ejection.rs
+++ b/limpetkeel/src/planner/ejection.rs
@@ -254,6 +254,7 @@
         tally::Rates {
             failures: mean(rates.iter().map(|rates| rates.failures).collect()),
             declines: mean(rates.iter().map(|rates| rates.declines).collect()),
+            slow: mean(rates.iter().map(|rates| rates.slow).collect()),
         }
     }
 
@@ -348,9 +349,13 @@
     fn judge(&mut self, now: unit::Timestamp, observed: Observation<'_>, reason: Reason) {
         let name = observed.upstream;
         let pool = self.pool_rates(now);
-        if pool.failures >= SHARED_RATE || pool.declines >= SHARED_RATE {
-            self.release_all(now);
-            return;
+        match reason {
+            Reason::Slow if pool.slow >= SHARED_RATE => return,
+            Reason::Declined if pool.declines >= SHARED_RATE => return self.release_all(now),
+            Reason::Failed | Reason::Crashed | Reason::Silent if pool.failures >= SHARED_RATE => {
+                return self.release_all(now);
+            }
+            _ => {}
         }
         let Some(record) = self.records.get(name) else {
             return;
--- a/limpetkeel/src/planner/ejection/tally.rs
+++ b/limpetkeel/src/planner/ejection/tally.rs
@@ -34,11 +34,13 @@
 /// explains.
 const MIN_DEVIATIONS: f64 = 4.0;
 
-/// The shares of failures and of declined requests among results.
+/// The shares of failures, of declined requests and of slow responses among results. They are kept
+/// apart, since all responses of an overloaded pool are slow and failures are to be seen beside them.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Rates {
     pub(super) failures: f64,
     pub(super) declines: f64,
+    pub(super) slow: f64,
 }
 
 /// The recent results of one upstream, decayed over time.
@@ -46,6 +48,7 @@
 pub(super) struct Tally {
     failures: f64,
     declines: f64,
+    slow: f64,
     total: f64,
     updated: unit::Timestamp,
     /// The failures since the last success.
@@ -60,6 +63,7 @@
         let factor = self.decay_factor(now);
         self.failures *= factor;
         self.declines *= factor;
+        self.slow *= factor;
         self.total *= factor;
         self.updated = now;
     }
@@ -85,7 +89,7 @@
                 }
                 self.declines_in_row += 1;
             }
-            ejection::Evidence::Failure(ejection::Reason::Slow) => self.failures += 1.0,
+            ejection::Evidence::Failure(ejection::Reason::Slow) => self.slow += 1.0,
             ejection::Evidence::Failure(_) => {
                 self.failures += 1.0;
                 self.failures_in_row += 1;
@@ -111,6 +115,7 @@
         Rates {
             failures: self.failures * factor / total,
             declines: self.declines * factor / total,
+            slow: self.slow * factor / total,
         }
     }
 
@@ -126,16 +131,19 @@
             return self.declines_in_row >= needed_in_row(MIN_DECLINES, pool.declines)
                 && now.since(self.declining_since) >= MIN_DECLINE_PERIOD;
         }
+        if reason == ejection::Reason::Slow {
+            return self.is_high(self.slow, pool.slow);
+        }
         self.failures_in_row >= needed_in_row(MIN_FAILURES, pool.failures)
-            || self.has_high_rate(pool.failures)
+            || self.is_high(self.failures, pool.failures)
     }
 
-    /// Returns `true` if the failure rate is far above that of the pool.
-    fn has_high_rate(&self, pool_rate: f64) -> bool {
+    /// Returns `true` if the share of `count` is far above that of the pool.
+    fn is_high(&self, count: f64, pool_rate: f64) -> bool {
         let deviation = (self.total * pool_rate * (1.0 - pool_rate)).sqrt();
         let explained = self.total * pool_rate + MIN_DEVIATIONS * deviation;
-        self.failures >= MIN_RATE_FAILURES + explained
-            && self.failures >= self.total * MIN_RATE.max(pool_rate * MIN_RATIO)
+        count >= MIN_RATE_FAILURES + explained
+            && count >= self.total * MIN_RATE.max(pool_rate * MIN_RATIO)
     }
 }
 
--- a/limpetkeel/src/planner/evidence.rs
+++ b/limpetkeel/src/planner/evidence.rs
@@ -112,7 +112,7 @@
                 if !has_waited {
                     return;
                 }
-                ejection::Evidence::Failure(ejection::Reason::Silent)
+                ejection::Evidence::Failure(ejection::Reason::Slow)
             }
             plan::AttemptResult::Declined => {
                 let upstream = self.upstreams.get(&plan_result.upstream);
--- a/limpetkeel/tests/planner_ejection.rs
+++ b/limpetkeel/tests/planner_ejection.rs
@@ -100,7 +100,7 @@
                 self.response_ms + ms,
                 AttemptResult::Succeeded,
             ),
-            Fault::Flap if now / 1_400 % 2 == 0 => (u64::MAX, 5, AttemptResult::Failed),
+            Fault::Flap if (now / 1_400).is_multiple_of(2) => (u64::MAX, 5, AttemptResult::Failed),
             Fault::Share(_) | Fault::Flap => sound,
         }
     }
@@ -198,6 +198,34 @@
     assert!(sound * 100 >= 12 * 450 * 85, "the others serve: {sound}");
 }
 
+/// Guards against failing upstreams that are not told apart while all responses are late.
+#[test]
+fn failing_upstreams_of_an_overloaded_pool_are_ejected() {
+    let mut planner = pool::planner(30);
+    let mut running = collections::VecDeque::new();
+    let mut failed_later = 0;
+    for now in (0..6_000).step_by(10) {
+        while running.front().is_some_and(|(end, _)| *end <= now) {
+            let (_, plan): (u64, Plan) = running.pop_front().expect("a plan");
+            planner.record_response_begun(Timestamp(now), plan.id);
+            planner.record_result(
+                Timestamp(now),
+                &plan_result(&plan, AttemptResult::Succeeded),
+            );
+        }
+        let request = pool::plan_request(now, 3_000);
+        let plan = planner.plan(Timestamp(now), &request).expect("plan");
+        if plan.lead.upstream.as_str() < "e03" {
+            failed_later += u32::from(now >= 3_000);
+            planner.record_result(Timestamp(now), &plan_result(&plan, AttemptResult::Failed));
+        } else {
+            running.push_back((now + 2_000, plan));
+        }
+    }
+    assert!(planner.ejected_upstreams() >= 2);
+    assert!(failed_later <= 12, "{failed_later}");
+}
+
 /// Guards against upstreams that stay ejected after they have recovered.
 #[test_case(Scenario::new(69, 7, Fault::AtOnce(AttemptResult::Failed)); "engines")]
 #[test_case(Scenario::plain(3, 1, Fault::AtOnce(AttemptResult::Failed)); "plain service")]
