--- a/limpetkeel/src/ingress.rs
+++ b/limpetkeel/src/ingress.rs
@@ -83,6 +83,21 @@
     pub priority: Option<u8>,
 }
 
+/// The limit on requests to an upstream that has started recently.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct ColdLimit {
+    /// How long an upstream is cold after its start.
+    pub lifetime: unit::Millis,
+    /// The requests per second that a cold upstream takes from all instances together.
+    pub per_second: f64,
+}
+
+impl ColdLimit {
+    fn is_valid(&self) -> bool {
+        self.lifetime > unit::Millis::ZERO && self.per_second.is_finite() && self.per_second > 0.0
+    }
+}
+
 /// A pool as the operator declares it.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct PoolDeclaration {
@@ -90,6 +105,8 @@
     pub name: String,
     /// The engine parameters, if the pool has model engines.
     pub engine: Option<engine::EngineParameters>,
+    /// The limit on cold upstreams, if there is one.
+    pub cold: Option<ColdLimit>,
 }
 
 /// The limits on requests and connections of callers.
@@ -274,6 +291,7 @@
     /// The workspaces by API key.
     workspaces: collections::HashMap<sync::Arc<str>, Workspace>,
     timings: collections::HashMap<name::PoolName, engine::EngineTiming>,
+    cold_limits: collections::HashMap<name::PoolName, ColdLimit>,
     shortest_gap: Option<unit::Millis>,
 }
 
@@ -300,6 +318,11 @@
         self.timings.get(pool).copied()
     }
 
+    /// Returns the limit on the cold upstreams of a pool, if there is one.
+    pub fn cold_limit(&self, pool: &name::PoolName) -> Option<ColdLimit> {
+        self.cold_limits.get(pool).copied()
+    }
+
     /// Returns the shortest gap between two events that a streaming route allows.
     pub fn shortest_gap(&self) -> Option<unit::Millis> {
         self.shortest_gap
@@ -380,6 +403,9 @@
         }
         for pool_declaration in &declaration.pools {
             let name = name::PoolName::try_from(pool_declaration.name.as_str())?;
+            if let Some(cold) = pool_declaration.cold.filter(ColdLimit::is_valid) {
+                ingress.cold_limits.insert(name.clone(), cold);
+            }
             if let Some(parameters) = pool_declaration.engine {
                 let timing = engine::EngineTiming::try_from(parameters)?;
                 ingress.timings.insert(name, timing);
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -86,7 +86,7 @@
 pub use floors::Floors;
 pub use grant::{Decision, Grant, HeldGrant, PlacementRequest, RequestId, UpstreamAddress};
 pub use ingress::{
-    Admission, Declaration as IngressDeclaration, Denial, Ingress, LatencyObjective,
+    Admission, ColdLimit, Declaration as IngressDeclaration, Denial, Ingress, LatencyObjective,
     PoolDeclaration as IngressPoolDeclaration, PoolShare, RequestLimits, ResponseForm, RetryPolicy,
     Route as IngressRoute, RouteDeclaration as IngressRouteDeclaration, Workspace,
     WorkspaceDeclaration,
@@ -106,7 +106,9 @@
     UpstreamName, WorkspaceName,
 };
 pub use plan::{AttemptResult, Helper, Plan, PlanRequest, PlanResult, ReportedPlan};
-pub use planner::{EjectionDecision, EjectionDecisionKind, EjectionReason, FreeMemory, Planner};
+pub use planner::{
+    ColdReport, EjectionDecision, EjectionDecisionKind, EjectionReason, FreeMemory, Planner,
+};
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
 pub use quarantine_list::{
@@ -140,6 +142,7 @@
 pub use upstream_availability::{MAX_PAUSE, UpstreamAvailability, UpstreamProcess};
 pub use upstream_list::{Entry as UpstreamListEntry, UpstreamList};
 pub use upstream_registry::{
-    Entry as UpstreamRegistryEntry, Removal, UpstreamRegistry, UpstreamState,
+    COLD_LEFT_UNKNOWN, ColdPeriod, Entry as UpstreamRegistryEntry, Removal, UpstreamRegistry,
+    UpstreamState,
 };
 pub use workspace::{FairQueue, WaitingRequest};
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -13,6 +13,7 @@
 //! prefill set grows and shrinks with the demand, and the engines with the fewest streams join it
 //! first.
 
+mod cold;
 mod delay;
 mod ejection;
 mod evidence;
@@ -30,6 +31,7 @@
 
 use std::collections;
 
+pub use cold::ColdReport;
 pub use ejection::{EjectionDecision, EjectionDecisionKind, Reason as EjectionReason};
 pub use memory::FreeMemory;
 
@@ -89,6 +91,7 @@
     prefill_delay: delay::Delay,
     request_limits: request_limits::RequestLimits,
     ejections: ejection::Ejections,
+    cold: cold::ColdUpstreams,
     registry_generation: Option<u64>,
     quarantine_generation: Option<u64>,
 }
@@ -112,6 +115,7 @@
             ),
             request_limits: request_limits::RequestLimits::default(),
             ejections: ejection::Ejections::default(),
+            cold: cold::ColdUpstreams::default(),
             registry_generation: None,
             quarantine_generation: None,
         }
@@ -178,6 +182,7 @@
         self.release_expired(now);
         self.waiting.remove_expired(now);
         self.apply_limit_notices(now, request);
+        self.refresh_cold(now, request);
         let isolation = self.screen(now, request)?;
         let isolated;
         let request = match isolation {
@@ -204,6 +209,7 @@
         self.waiting.remove(request.waiting_id);
         self.request_limits
             .count(now, &plan.lead.upstream, request.planners);
+        self.count_cold(now, &plan.lead.upstream, request.planners);
         if let Some(lead) = self.upstreams.get(&plan.lead.upstream) {
             let (from, zone) = (&request.availability_zone, lead.availability_zone());
             self.health.record_trial(now, from, zone);
@@ -299,7 +305,7 @@
             return;
         };
         let (health, limits) = (&self.health, &self.request_limits);
-        let ejections = &self.ejections;
+        let (ejections, cold) = (&self.ejections, &self.cold);
         let zone = &request.availability_zone;
         let reachable = prefill_set::ReachableUpstreams {
             upstreams: &self.upstreams,
@@ -308,7 +314,7 @@
                     && health.is_reliable(now, zone, upstream)
                     && ejections.is_serving(upstream.name())
             },
-            is_limited: &|name| limits.is_limited(name),
+            is_limited: &|name| limits.is_limited(name) || cold.is_cold(now, name),
         };
         self.prefill_set
             .resize(now, timing, &reachable, self.waiting.demand());
@@ -317,8 +323,8 @@
     /// Returns the available and reachable upstreams that the request has not tried yet.
     ///
     /// If every such upstream has been tried, returns all of them. If none is reachable,
-    /// reachability is ignored. Unavailable upstreams, those whose request limit is reached and, while
-    /// another one is reachable, ejected ones are never returned.
+    /// reachability is ignored. Unavailable upstreams, those whose request limit or cold limit is reached and,
+    /// while another one is reachable, ejected ones are never returned.
     fn candidates<'a>(
         &'a self,
         now: unit::Timestamp,
@@ -333,7 +339,7 @@
         let any_in_service = self.reaches_any_in_service(now, request);
         let available = available.filter(move |upstream| {
             is_available(request, upstream)
-                && self.request_limits.allows(now, upstream.name())
+                && self.limits_allow(now, upstream)
                 && (!any_in_service || self.admits(now, request, upstream))
         });
         let any_untried = available
--- a/limpetkeel/src/planner/request_limits.rs
+++ b/limpetkeel/src/planner/request_limits.rs
@@ -100,6 +100,13 @@
         limit.is_some_and(|limit| limit.interval_ms().is_some())
     }
 
+    /// Returns the time until a limited upstream takes the next request and the time between two
+    /// requests, in milliseconds.
+    fn spacing(&self, now: unit::Timestamp, name: &name::UpstreamName) -> Option<(f64, f64)> {
+        let limit = self.limits.get(name)?;
+        Some((limit.wait_ms(now), limit.interval_ms()?))
+    }
+
     /// Returns `true` if the limit of an upstream, if any, allows a request now.
     pub(super) fn allows(&self, now: unit::Timestamp, name: &name::UpstreamName) -> bool {
         let limit = self.limits.get(name);
@@ -164,13 +171,16 @@
         let mut waits_ms = Vec::new();
         let mut per_ms = 0.0;
         for upstream in available {
-            let limit = self.request_limits.limits.get(upstream.name());
-            let Some((limit, interval_ms)) =
-                limit.and_then(|limit| Some((limit, limit.interval_ms()?)))
-            else {
-                return Ok(());
+            let announced = self.request_limits.spacing(now, upstream.name());
+            let cold = self.cold.spacing(now, upstream.name());
+            let (wait_ms, interval_ms) = match (announced, cold) {
+                (Some((wait_ms, interval_ms)), Some((cold_wait_ms, cold_interval_ms))) => {
+                    (wait_ms.max(cold_wait_ms), interval_ms.max(cold_interval_ms))
+                }
+                (Some(spacing), None) | (None, Some(spacing)) => spacing,
+                (None, None) => return Ok(()),
             };
-            waits_ms.push(limit.wait_ms(now));
+            waits_ms.push(wait_ms);
             per_ms += 1.0 / interval_ms;
         }
         let before = self.request_limits.waiting.count_before(now, request);
--- a/limpetkeel/src/upstream_registry.rs
+++ b/limpetkeel/src/upstream_registry.rs
@@ -38,10 +38,28 @@
     pub state: UpstreamState,
     /// When the upstream started. It distinguishes two processes with the same name.
     pub start_time: u64,
+    /// How long the upstream stays cold, or [`COLD_LEFT_UNKNOWN`].
+    pub cold_left: unit::Millis,
     /// The revision of the entry's last change.
     pub revision: revision::Revision,
 }
 
+/// Stands for the time that an upstream stays cold if its entry does not say it.
+pub const COLD_LEFT_UNKNOWN: unit::Millis = unit::Millis(u64::MAX);
+
+/// How long an upstream counts as cold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ColdPeriod {
+    /// The upstream.
+    pub upstream: name::UpstreamName,
+    /// When its entry was received.
+    pub since: unit::Timestamp,
+    /// What the entry says, or [`COLD_LEFT_UNKNOWN`].
+    pub cold_left: unit::Millis,
+    /// When the upstream was set back to its first moment, if it was.
+    pub restarted: Option<unit::Timestamp>,
+}
+
 /// An entry and whether it is missing from the store.
 #[derive(Debug)]
 struct TrackedEntry {
@@ -49,6 +67,11 @@
     /// When and at which revision the entry disappeared, if it did so while the store was
     /// unhealthy.
     missing_since: Option<(unit::Timestamp, revision::Revision)>,
+    /// When the entry was received, or `None` if the time has not been recorded yet.
+    received: Option<unit::Timestamp>,
+    /// The time from which the upstream counts as cold for the period of its pool, whatever its entry
+    /// says.
+    cold_restarted: Option<unit::Timestamp>,
 }
 
 /// Whether the removal of an entry means that its upstream or instance has stopped.
@@ -123,9 +146,18 @@
         self.removed.remove(&entry.name);
         self.generation += 1;
         let name = entry.name.clone();
+        let same_process = self.entries.get(&name);
+        let same_process = same_process.filter(|known| known.entry.start_time == entry.start_time);
+        let is_repetition = same_process.is_some_and(|known| {
+            entry.cold_left == COLD_LEFT_UNKNOWN && known.entry.cold_left == COLD_LEFT_UNKNOWN
+        });
         let tracked = TrackedEntry {
-            entry,
             missing_since: None,
+            received: same_process
+                .filter(|_| is_repetition)
+                .and_then(|known| known.received),
+            cold_restarted: same_process.and_then(|known| known.cold_restarted),
+            entry,
         };
         self.entries.insert(name, tracked);
         true
@@ -216,6 +248,39 @@
         }
     }
 
+    /// Records when the entries that have been applied since the last call were received.
+    pub fn record_received(&mut self, now: unit::Timestamp) {
+        for tracked in self.entries.values_mut() {
+            tracked.received.get_or_insert(now);
+        }
+    }
+
+    /// Makes the upstreams of a zone count as cold from `at` for the period of their pool, since they got
+    /// no requests before.
+    pub fn restart_cold_periods(&mut self, at: unit::Timestamp, zone: &name::AvailabilityZoneName) {
+        for tracked in self.entries.values_mut() {
+            if tracked.entry.availability_zone == *zone {
+                tracked.cold_restarted = tracked.cold_restarted.max(Some(at));
+            }
+        }
+        self.generation += 1;
+    }
+
+    /// Returns the cold periods of the upstreams of a pool, of which some may be over. `now` stands for
+    /// the time of entries that were received since the last call of
+    /// [`record_received`](UpstreamRegistry::record_received).
+    pub fn cold_periods(&self, now: unit::Timestamp, pool: &name::PoolName) -> Vec<ColdPeriod> {
+        let of_pool = self.entries.values();
+        let of_pool = of_pool.filter(|tracked| tracked.entry.pool == *pool);
+        let periods = of_pool.map(|tracked| ColdPeriod {
+            upstream: tracked.entry.name.clone(),
+            since: tracked.received.unwrap_or(now),
+            cold_left: tracked.entry.cold_left,
+            restarted: tracked.cold_restarted,
+        });
+        periods.collect()
+    }
+
     /// Returns the entry of an upstream, even if it is missing.
     pub fn get(&self, name: &name::UpstreamName) -> Option<&Entry> {
         self.entries.get(name).map(|tracked| &tracked.entry)
--- a/limpetkeel/tests/ingress.rs
+++ b/limpetkeel/tests/ingress.rs
@@ -38,6 +38,7 @@
         pools: vec![IngressPoolDeclaration {
             name: "desk".to_owned(),
             engine: None,
+            cold: None,
         }],
         workspaces: vec![WorkspaceDeclaration {
             name: "counter".to_owned(),
--- a/limpetkeel/tests/store_snapshot.rs
+++ b/limpetkeel/tests/store_snapshot.rs
@@ -17,6 +17,7 @@
         slots: 6,
         state,
         start_time: 1,
+        cold_left: limpetkeel::Millis::ZERO,
         revision: Revision::new(Era(1), revision),
     })
 }
--- a/limpetkeel/tests/upstream_registry.rs
+++ b/limpetkeel/tests/upstream_registry.rs
@@ -14,6 +14,7 @@
         slots: 6,
         state: UpstreamState::Ready,
         start_time: 1,
+        cold_left: limpetkeel::Millis::ZERO,
         revision: Revision::new(Era(1), revision),
     }
 }
@@ -275,3 +276,31 @@
     assert_eq!(ready_names(&registry), ["a"]);
     assert!(registry.upsert(restored_entry("a", 6, 2)));
 }
+
+/// Guards against a limit that begins again with each rewritten entry, or never.
+#[test]
+fn a_cold_period_begins_when_an_entry_that_says_so_is_received() {
+    let pool = "desk".try_into().expect("name");
+    let since = |registry: &UpstreamRegistry| {
+        let period = registry.cold_periods(Timestamp(90), &pool).remove(0);
+        (period.since, period.cold_left)
+    };
+    let with_cold = |revision, cold_left| UpstreamRegistryEntry {
+        cold_left,
+        ..entry("a", revision)
+    };
+    let mut registry = UpstreamRegistry::default();
+    registry.upsert(with_cold(1, limpetkeel::COLD_LEFT_UNKNOWN));
+    registry.record_received(Timestamp(10));
+    registry.upsert(with_cold(2, limpetkeel::COLD_LEFT_UNKNOWN));
+    registry.record_received(Timestamp(20));
+    assert_eq!(since(&registry).0, Timestamp(10), "the process is not new");
+    registry.upsert(with_cold(3, Millis(5_000)));
+    registry.record_received(Timestamp(30));
+    assert_eq!(since(&registry), (Timestamp(30), Millis(5_000)));
+    registry.upsert(with_cold(4, Millis(4_000)));
+    assert_eq!(since(&registry), (Timestamp(90), Millis(4_000)));
+    registry.upsert(with_cold(5, Millis::ZERO));
+    registry.record_received(Timestamp(95));
+    assert_eq!(since(&registry).1, Millis::ZERO);
+}
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -48,6 +48,10 @@
     pub restorations: prometheus::IntCounterVec,
     /// Upstreams that are ejected by the local planners, by pool.
     pub ejected_upstreams: prometheus::IntGaugeVec,
+    /// Upstreams that are cold, by pool, as the local planners know.
+    pub cold_upstreams: prometheus::IntGaugeVec,
+    /// Requests while upstreams were cold, by whether a cold one got them.
+    pub cold_requests: prometheus::IntCounterVec,
     /// Log lines dropped because the log queue was full.
     pub dropped_log_lines: prometheus::IntGauge,
 }
@@ -145,6 +149,18 @@
                 ),
                 &["pool"],
             ))?,
+            cold_upstreams: registrar.register(prometheus::IntGaugeVec::new(
+                prometheus::Opts::new(
+                    "limpetkeel_relay_cold_upstreams",
+                    "Upstreams that are cold, by pool.",
+                ),
+                &["pool"],
+            ))?,
+            cold_requests: registrar.counter_vec(
+                "limpetkeel_relay_cold_requests_total",
+                "Requests that cold upstreams got, or did not get because of their limit.",
+                &["result"],
+            )?,
             dropped_log_lines: registrar.gauge(
                 "limpetkeel_log_lines_left_out",
                 "Log lines left out since the start because their queue was full.",
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -4,8 +4,8 @@
 use std::collections;
 
 use limpetkeel::{
-    CauseDecision, EjectionDecision, Error, Plan, PlanRequest, PlanResult, Planner, PoolName,
-    QuarantineUpdate, ReportedPlan, RequestId, Timestamp,
+    CauseDecision, ColdReport, EjectionDecision, Error, Plan, PlanRequest, PlanResult, Planner,
+    PoolName, QuarantineUpdate, ReportedPlan, RequestId, Timestamp,
 };
 
 use crate::{
@@ -54,9 +54,14 @@
         .entry(pool.clone())
         .or_insert_with(|| Planner::new(pool.clone()));
     planner.set_timing(tables.ingress.timing(pool), tables.ingress.shortest_gap());
-    if planner.is_outdated(generation) {
+    let cold_limit = tables.ingress.cold_limit(pool);
+    let is_outdated = planner.is_outdated(generation);
+    if is_outdated {
         planner.set_upstreams(generation, &tables.upstreams.ready_upstreams(pool));
     }
+    if is_outdated || planner.has_other_cold_limit(cold_limit) {
+        planner.set_cold(cold_limit, &tables.upstreams.cold_periods(now, pool));
+    }
     let generation = tables.quarantines.generation();
     if planner.has_outdated_quarantines(generation) {
         let quarantines: Vec<_> = tables.quarantines.entries().collect();
@@ -112,6 +117,7 @@
     screened: Vec<CauseDecision>,
     updates: Vec<QuarantineUpdate>,
     ejections: Vec<EjectionDecision>,
+    cold: ColdReport,
 }
 
 /// Takes what a planner has decided since the last call.
@@ -120,6 +126,7 @@
         screened: planner.take_cause_decisions(),
         updates: planner.take_quarantine_updates(),
         ejections: planner.take_ejection_decisions(),
+        cold: planner.take_cold_report(),
     }
 }
 
@@ -132,6 +139,7 @@
     for decision in decisions.ejections {
         publish_ejection(shared, pool, &decision);
     }
+    publish_cold(shared, pool, &decisions.cold);
     for decision in decisions.screened {
         let code = decision.kind.code();
         let relay = &shared.metrics.relay;
@@ -146,6 +154,30 @@
     }
 }
 
+/// Logs the upstreams that became cold, and counts the requests that this concerned.
+fn publish_cold(shared: &shared::Shared, pool: &PoolName, report: &ColdReport) {
+    let relay = &shared.metrics.relay;
+    relay
+        .cold_upstreams
+        .with_label_values(&[pool.as_str()])
+        .set(report.cold as i64);
+    for (result, count) in [("admitted", report.admitted), ("diverted", report.diverted)] {
+        relay
+            .cold_requests
+            .with_label_values(&[result])
+            .inc_by(count);
+    }
+    for (upstream, left) in &report.became_cold {
+        tracing::info!(
+            event = "upstream_cold",
+            pool = %pool,
+            upstream = %upstream,
+            left_ms = left.0,
+            cold = report.cold,
+        );
+    }
+}
+
 /// Logs and counts that an upstream was ejected or returned to service.
 fn publish_ejection(shared: &shared::Shared, pool: &PoolName, decision: &EjectionDecision) {
     let relay = &shared.metrics.relay;
--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -117,6 +117,7 @@
     tables
         .upstreams
         .replace(now, snapshot.upstreams, snapshot.revision, removal);
+    tables.upstreams.record_received(now);
     log_quarantine_changes(&tables.quarantines, &snapshot.quarantines);
     tables
         .quarantines
@@ -151,6 +152,7 @@
     for (change, removal) in changes.changes {
         apply_change(shared, &mut tables, now, change, removal);
     }
+    tables.upstreams.record_received(now);
     tables.upstreams.remove_expired(now);
     tables.quarantines.advance(changes.revision);
     tables.revision = tables.revision.max(changes.revision);
