--- a/limpetkeel/src/upstream_registry.rs
+++ b/limpetkeel/src/upstream_registry.rs
@@ -38,21 +38,41 @@
     pub state: UpstreamState,
     /// When the upstream started. It distinguishes two processes with the same name.
     pub start_time: u64,
+    /// How long the upstream stays cold, or [`COLD_LEFT_UNKNOWN`].
+    pub cold_left: unit::Millis,
     /// The revision of the entry's last change.
     pub revision: revision::Revision,
 }
 
 impl Entry {
-    /// Returns `true` if `other` differs in its revision only.
-    fn repeats(&self, other: &Entry) -> bool {
-        let same_revision = Entry {
-            revision: other.revision,
+    /// Returns `true` if a later entry concerns the placement of requests in no other way than this
+    /// one. An upstream that stays cold for a shorter time than known is no risk.
+    fn is_repeated_by(&self, later: &Entry) -> bool {
+        let same = Entry {
+            revision: later.revision,
+            cold_left: self.cold_left.min(later.cold_left),
             ..self.clone()
         };
-        same_revision == *other
+        same == *later
     }
 }
 
+/// Stands for the time that an upstream stays cold if its entry does not say it.
+pub const COLD_LEFT_UNKNOWN: unit::Millis = unit::Millis(u64::MAX);
+
+/// How long an upstream counts as cold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ColdPeriod {
+    /// The upstream.
+    pub upstream: name::UpstreamName,
+    /// When its entry was received.
+    pub since: unit::Timestamp,
+    /// What the entry says, or [`COLD_LEFT_UNKNOWN`].
+    pub cold_left: unit::Millis,
+    /// When the upstream was set back to its first moment, if it was.
+    pub restarted: Option<unit::Timestamp>,
+}
+
 /// An entry and whether it is missing from the store.
 #[derive(Debug)]
 struct TrackedEntry {
@@ -60,6 +80,11 @@
     /// When and at which revision the entry disappeared, if it did so while the store was
     /// unhealthy.
     missing_since: Option<(unit::Timestamp, revision::Revision)>,
+    /// When the entry was received, or `None` if the time has not been recorded yet.
+    received: Option<unit::Timestamp>,
+    /// The time from which the upstream counts as cold for the period of its pool, whatever its entry
+    /// says.
+    cold_restarted: Option<unit::Timestamp>,
 }
 
 /// Whether the removal of an entry means that its upstream or instance has stopped.
@@ -145,7 +170,8 @@
             }
         }
         let former = known.map(|tracked| &tracked.entry);
-        let is_repeated = !was_missing && former.is_some_and(|former| former.repeats(&entry));
+        let is_repeated =
+            !was_missing && former.is_some_and(|former| former.is_repeated_by(&entry));
         let former_pool = former.map(|former| former.pool.clone());
         if !is_repeated {
             self.record_change(entry.pool.clone(), entry.revision);
@@ -156,9 +182,18 @@
         self.removed.remove(&entry.name);
         self.generation += 1;
         let name = entry.name.clone();
+        let same_process = self.entries.get(&name);
+        let same_process = same_process.filter(|known| known.entry.start_time == entry.start_time);
+        let is_repetition = same_process.is_some_and(|known| {
+            entry.cold_left == COLD_LEFT_UNKNOWN && known.entry.cold_left == COLD_LEFT_UNKNOWN
+        });
         let tracked = TrackedEntry {
-            entry,
             missing_since: None,
+            received: same_process
+                .filter(|_| is_repetition)
+                .and_then(|known| known.received),
+            cold_restarted: same_process.and_then(|known| known.cold_restarted),
+            entry,
         };
         self.entries.insert(name, tracked);
         true
@@ -251,6 +286,39 @@
         }
     }
 
+    /// Records when the entries that have been applied since the last call were received.
+    pub fn record_received(&mut self, now: unit::Timestamp) {
+        for tracked in self.entries.values_mut() {
+            tracked.received.get_or_insert(now);
+        }
+    }
+
+    /// Makes the upstreams of a zone count as cold from `at` for the period of their pool, since they got
+    /// no requests before.
+    pub fn restart_cold_periods(&mut self, at: unit::Timestamp, zone: &name::AvailabilityZoneName) {
+        for tracked in self.entries.values_mut() {
+            if tracked.entry.availability_zone == *zone {
+                tracked.cold_restarted = tracked.cold_restarted.max(Some(at));
+            }
+        }
+        self.generation += 1;
+    }
+
+    /// Returns the cold periods of the upstreams of a pool, of which some may be over. `now` stands for
+    /// the time of entries that were received since the last call of
+    /// [`record_received`](UpstreamRegistry::record_received).
+    pub fn cold_periods(&self, now: unit::Timestamp, pool: &name::PoolName) -> Vec<ColdPeriod> {
+        let of_pool = self.entries.values();
+        let of_pool = of_pool.filter(|tracked| tracked.entry.pool == *pool);
+        let periods = of_pool.map(|tracked| ColdPeriod {
+            upstream: tracked.entry.name.clone(),
+            since: tracked.received.unwrap_or(now),
+            cold_left: tracked.entry.cold_left,
+            restarted: tracked.cold_restarted,
+        });
+        periods.collect()
+    }
+
     /// Returns the entry of an upstream, even if it is missing.
     pub fn get(&self, name: &name::UpstreamName) -> Option<&Entry> {
         self.entries.get(name).map(|tracked| &tracked.entry)
