Evacuation of availability zones

The planner excludes evacuated zones from everything new and keeps the ledgers of their streams; the requesting instance checks each plan against its own list. After a stale plan, the next plan request names all upstreams that the local tables rule out, since the planner may have heard of a lift a moment earlier.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -37,6 +37,7 @@
 mod drain_schedule;
 mod engine;
 mod error;
+mod evacuation_list;
 mod floors;
 mod grant;
 mod ingress;
@@ -85,6 +86,7 @@
 pub use drain_schedule::DrainSchedule;
 pub use engine::{EngineParameters, EngineTiming};
 pub use error::{Category, Error, Outcome, Result, Rule};
+pub use evacuation_list::{Changes as EvacuationChanges, Entry as EvacuationEntry, EvacuationList};
 pub use floors::Floors;
 pub use grant::{Decision, Grant, HeldGrant, PlacementRequest, RequestId, UpstreamAddress};
 pub use ingress::{
@@ -108,7 +110,7 @@
     UpstreamName, WorkspaceName,
 };
 pub use plan::{AttemptResult, Helper, Plan, PlanRequest, PlanResult, ReportedPlan};
-pub use plan_check::{PlanProcesses, StalePlan, StaleReason};
+pub use plan_check::{PlanProcesses, StalePlan, StaleReason, ruled_out_upstreams};
 pub use planner::{FreeMemory, Planner};
 pub use pool::{Declaration as PoolDeclaration, Pool};
 pub use prefix::{Prefix, PrefixIndex};
--- a/limpetkeel/src/plan_check.rs
+++ b/limpetkeel/src/plan_check.rs
@@ -5,7 +5,7 @@
 
 use std::collections;
 
-use crate::{grant, name, plan, upstream_registry};
+use crate::{evacuation_list, grant, name, plan, upstream_registry};
 
 /// The reason why an upstream of a plan must not be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     Removed,
     /// The upstream is listed at another address.
     Moved,
+    /// The availability zone of the upstream is evacuated.
+    Evacuated,
     /// Another process has taken the place of the one for which the plan was accepted.
     Replaced,
 }
@@ -27,6 +29,7 @@
             StaleReason::Draining => "draining",
             StaleReason::Removed => "removed",
             StaleReason::Moved => "moved",
+            StaleReason::Evacuated => "evacuated",
             StaleReason::Replaced => "replaced",
         }
     }
@@ -56,12 +59,13 @@
     pub fn check(
         &mut self,
         registry: &upstream_registry::UpstreamRegistry,
+        evacuations: &evacuation_list::EvacuationList,
         pool: &name::PoolName,
         plan: &plan::Plan,
     ) -> Result<(), StalePlan> {
         let helpers = plan.helpers.iter().map(|helper| &helper.engine);
         for engine in [&plan.lead].into_iter().chain(helpers) {
-            self.check_upstream(registry, pool, engine)
+            self.check_upstream(registry, evacuations, pool, engine)
                 .map_err(|reason| StalePlan {
                     upstream: engine.upstream.clone(),
                     reason,
@@ -73,6 +77,7 @@
     fn check_upstream(
         &mut self,
         registry: &upstream_registry::UpstreamRegistry,
+        evacuations: &evacuation_list::EvacuationList,
         pool: &name::PoolName,
         engine: &grant::UpstreamAddress,
     ) -> Result<(), StaleReason> {
@@ -86,6 +91,9 @@
         if entry.state == upstream_registry::UpstreamState::Draining {
             return Err(StaleReason::Draining);
         }
+        if evacuations.contains(&entry.availability_zone) {
+            return Err(StaleReason::Evacuated);
+        }
         if entry.address != engine.address {
             return Err(StaleReason::Moved);
         }
@@ -102,3 +110,23 @@
         Ok(())
     }
 }
+
+/// Returns the upstreams of a pool that the local tables rule out. A planner that has made a stale plan
+/// is told all of them, so that its next plan is not stale as well.
+pub fn ruled_out_upstreams(
+    registry: &upstream_registry::UpstreamRegistry,
+    evacuations: &evacuation_list::EvacuationList,
+    pool: &name::PoolName,
+) -> Vec<name::UpstreamName> {
+    let has_present = registry.has_present_upstream(pool);
+    let is_ruled_out = |entry: &upstream_registry::Entry| {
+        entry.state == upstream_registry::UpstreamState::Draining
+            || evacuations.contains(&entry.availability_zone)
+            || (has_present && registry.is_missing(&entry.name))
+    };
+    let entries = registry.known_entries();
+    entries
+        .filter(|entry| entry.pool == *pool && is_ruled_out(entry))
+        .map(|entry| entry.name.clone())
+        .collect()
+}
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -14,6 +14,7 @@
 //! first.
 
 mod delay;
+mod evacuation;
 mod health;
 mod helpers;
 mod ledger;
@@ -85,6 +86,8 @@
     /// How much later than computed the responses to long prompts begin.
     prefill_delay: delay::Delay,
     request_limits: request_limits::RequestLimits,
+    /// The availability zones to whose upstreams nothing new is sent.
+    evacuated_zones: collections::BTreeSet<name::AvailabilityZoneName>,
     registry_generation: Option<u64>,
     quarantine_generation: Option<u64>,
 }
@@ -107,6 +110,7 @@
                 prefill_queue::DELAY_HALF_LIFE_MS,
             ),
             request_limits: request_limits::RequestLimits::default(),
+            evacuated_zones: collections::BTreeSet::new(),
             registry_generation: None,
             quarantine_generation: None,
         }
@@ -138,6 +142,7 @@
                 .or_insert_with(|| upstream::Upstream::new(entry));
         }
         self.prefill_set.set_upstreams(self.upstreams.values());
+        self.leave_evacuated();
     }
 
     /// Sets the timing of the pool's engines and the shortest gap that a streaming route allows.
@@ -172,6 +177,9 @@
         self.release_expired(now);
         self.waiting.remove_expired(now);
         self.apply_limit_notices(now, request);
+        if self.open_upstream_count() == 0 {
+            return Err(self.no_candidate());
+        }
         let isolation = self.screen(now, request)?;
         self.check_request_limits(now, request)?;
         let plan = match self.timing {
@@ -269,11 +277,13 @@
             return;
         };
         let (health, limits) = (&self.health, &self.request_limits);
+        let evacuated = &self.evacuated_zones;
         let zone = &request.availability_zone;
         let reachable = prefill_set::ReachableUpstreams {
             upstreams: &self.upstreams,
             is_reachable: &|upstream| {
-                is_available(request, upstream) && health.is_reliable(now, zone, upstream)
+                evacuation::is_available(request, evacuated, upstream)
+                    && health.is_reliable(now, zone, upstream)
             },
             is_limited: &|name| limits.is_limited(name),
         };
@@ -298,7 +308,7 @@
             |upstream: &&upstream::Upstream| !request.excluded_upstreams.contains(upstream.name());
         let available = self.upstreams.values();
         let available = available.filter(move |upstream| {
-            is_available(request, upstream) && self.request_limits.allows(now, upstream.name())
+            self.is_usable(request, upstream) && self.request_limits.allows(now, upstream.name())
         });
         let any_untried = available
             .clone()
@@ -345,8 +355,3 @@
         }
     }
 }
-
-/// Returns `true` if the request may use an upstream.
-fn is_available(request: &plan::PlanRequest, upstream: &upstream::Upstream) -> bool {
-    !request.unavailable_upstreams.contains(upstream.name())
-}
--- a/limpetkeel/src/planner/helpers.rs
+++ b/limpetkeel/src/planner/helpers.rs
@@ -169,7 +169,7 @@
         upstream: &upstream::Upstream,
     ) -> bool {
         let zone = &request.availability_zone;
-        planner::is_available(request, upstream)
+        self.is_usable(request, upstream)
             && self.health.is_reliable(now, zone, upstream)
             && self.health.failure_rate(now, upstream.name()) < MAX_FAILURE_RATE
     }
--- a/limpetkeel/src/planner/memory.rs
+++ b/limpetkeel/src/planner/memory.rs
@@ -220,7 +220,7 @@
         let parts = self.waiting.parts(id).iter().map(|part| &part.upstream);
         let lost: Vec<_> = parts.filter(|name| !can_help(name)).cloned().collect();
         self.waiting.retain_usable(id, |name| !lost.contains(name));
-        let pool_memory = unit::Tokens(usable.0 * self.upstreams.len() as u64);
+        let pool_memory = unit::Tokens(usable.0 * self.open_upstream_count() as u64);
         let lacking = self.waiting.take_allowance(id, pool_memory);
         if lacking == unit::Tokens::ZERO {
             return;
@@ -254,7 +254,7 @@
         usable: unit::Tokens,
         size: request_size::RequestSize,
     ) -> error::Result<()> {
-        let helpers = self.upstreams.len().saturating_sub(1);
+        let helpers = self.open_upstream_count().saturating_sub(1);
         let helpers = helpers.min(helpers::MAX_HELPERS) as u64;
         let lead_memory = usable.saturating_sub(size.output);
         let longest = unit::Tokens(usable.0 * helpers) + lead_memory;
@@ -276,8 +276,8 @@
         };
         let usable_memory = long_prompt::usable_memory(&timing);
         let upstreams = self.upstreams.values();
-        let available = upstreams
-            .filter(|upstream: &&upstream::Upstream| planner::is_available(request, upstream));
+        let available =
+            upstreams.filter(|upstream: &&upstream::Upstream| self.is_usable(request, upstream));
         for upstream in available {
             let free = upstream.free_memory(usable_memory);
             if self.prefill_set.contains(upstream.name()) {
--- a/limpetkeel/src/planner/prefill_set.rs
+++ b/limpetkeel/src/planner/prefill_set.rs
@@ -96,6 +96,11 @@
         self.members.retain(|name| join_order.contains(name));
     }
 
+    /// Removes upstreams from the set.
+    pub(super) fn remove_members(&mut self, names: &collections::BTreeSet<name::UpstreamName>) {
+        self.members.retain(|name| !names.contains(name));
+    }
+
     /// Returns `true` if an upstream is in the set.
     pub(super) fn contains(&self, name: &name::UpstreamName) -> bool {
         self.members.contains(name)
--- a/limpetkeel/src/planner/request_limits.rs
+++ b/limpetkeel/src/planner/request_limits.rs
@@ -156,8 +156,8 @@
     ) -> error::Result<()> {
         self.request_limits.waiting.remove_expired(now);
         let upstreams = self.upstreams.values();
-        let available = upstreams
-            .filter(|upstream: &&upstream::Upstream| planner::is_available(request, upstream));
+        let available =
+            upstreams.filter(|upstream: &&upstream::Upstream| self.is_usable(request, upstream));
         let mut waits_ms = Vec::new();
         let mut per_ms = 0.0;
         for upstream in available {
--- a/limpetkeel/src/store_snapshot.rs
+++ b/limpetkeel/src/store_snapshot.rs
@@ -3,8 +3,8 @@
 use std::{collections, sync};
 
 use crate::{
-    crash_cause, ingress, instance_registry, member, name, quarantine_list, revision,
-    upstream_registry,
+    crash_cause, evacuation_list, ingress, instance_registry, member, name, quarantine_list,
+    revision, upstream_registry,
 };
 
 /// A snapshot of the relay's data in the store.
@@ -20,6 +20,8 @@
     pub instances: Vec<member::Contact>,
     /// The quarantined causes of crashes.
     pub quarantines: Vec<quarantine_list::Entry>,
+    /// The evacuated availability zones.
+    pub evacuations: Vec<evacuation_list::Entry>,
     /// The entries that cannot be decoded. They are counted by the instance that reads the store.
     #[serde(skip)]
     pub unreadable: Vec<String>,
@@ -34,6 +36,7 @@
         upstreams: &upstream_registry::UpstreamRegistry,
         instances: &instance_registry::InstanceRegistry,
         quarantines: &quarantine_list::QuarantineList,
+        evacuations: &evacuation_list::EvacuationList,
         removal: upstream_registry::Removal,
     ) -> Changes {
         let mut changes = Vec::new();
@@ -81,6 +84,7 @@
             .iter()
             .filter(|entry| known.get(&entry.quarantine.cause) != Some(entry));
         changes.extend(changed.copied().map(Change::Quarantine));
+        changes.extend(self.evacuation_changes(evacuations));
         Changes {
             revision: self.revision,
             changes: changes
@@ -91,6 +95,22 @@
     }
 }
 
+impl StoreSnapshot {
+    /// Returns the changes of the evacuated zones that lead from a list to this snapshot.
+    fn evacuation_changes(&self, known: &evacuation_list::EvacuationList) -> Vec<Change> {
+        let is_listed = |zone: &name::AvailabilityZoneName| {
+            let mut listed = self.evacuations.iter();
+            listed.any(|entry| entry.availability_zone == *zone)
+        };
+        let lifted = known.zones().iter().filter(|zone| !is_listed(zone));
+        let lifted = lifted.map(|zone| Change::EvacuationLifted(zone.clone(), self.revision));
+        let known: Vec<_> = known.entries().collect();
+        let changed = self.evacuations.iter();
+        let changed = changed.filter(|entry| !known.contains(entry)).cloned();
+        lifted.chain(changed.map(Change::Evacuation)).collect()
+    }
+}
+
 /// One change in the store.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub enum Change {
@@ -110,6 +130,10 @@
     QuarantineRemoved(crash_cause::CrashCause, revision::Revision),
     /// The value that was written to this key cannot be decoded and is ignored.
     Unreadable(String),
+    /// The evacuation of an availability zone was written.
+    Evacuation(evacuation_list::Entry),
+    /// The evacuation of an availability zone was deleted at a revision.
+    EvacuationLifted(name::AvailabilityZoneName, revision::Revision),
 }
 
 /// What a change concerns.
@@ -120,6 +144,7 @@
     Instance(name::InstanceName),
     Quarantine(crash_cause::CrashCause),
     Unreadable(String),
+    Evacuation(name::AvailabilityZoneName),
 }
 
 impl Change {
@@ -133,6 +158,8 @@
             Change::Quarantine(entry) => Subject::Quarantine(entry.quarantine.cause),
             Change::QuarantineRemoved(part, _) => Subject::Quarantine(*part),
             Change::Unreadable(key) => Subject::Unreadable(key.clone()),
+            Change::Evacuation(entry) => Subject::Evacuation(entry.availability_zone.clone()),
+            Change::EvacuationLifted(zone, _) => Subject::Evacuation(zone.clone()),
         }
     }
 
--- a/limpetkeel/src/upstream_registry.rs
+++ b/limpetkeel/src/upstream_registry.rs
@@ -274,15 +274,9 @@
             .any(|entry| entry.pool == *pool && entry.state == UpstreamState::Ready)
     }
 
-    /// Returns the upstreams of a pool that are draining.
-    pub fn draining_upstreams<'a>(
-        &'a self,
-        pool: &'a name::PoolName,
-    ) -> impl Iterator<Item = &'a name::UpstreamName> {
-        let entries = self.entries.values().map(|tracked| &tracked.entry);
-        entries
-            .filter(|entry| entry.pool == *pool && entry.state == UpstreamState::Draining)
-            .map(|entry| &entry.name)
+    /// Returns all entries, even if they are missing.
+    pub fn known_entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().map(|tracked| &tracked.entry)
     }
 
     /// Returns the entries that are not missing.
--- a/limpetkeel/tests/store_snapshot.rs
+++ b/limpetkeel/tests/store_snapshot.rs
@@ -2,9 +2,9 @@
 //! follower at any revision ends with the same entries.
 
 use limpetkeel::{
-    Contact, CrashCause, Era, IngressDeclaration, InstanceRegistry, Millicores, Millis, Quarantine,
-    QuarantineList, QuarantineListEntry, Removal, RequestLimits, Revision, StoreChange,
-    StoreChangeLog, StoreChanges, StoreSnapshot, Timestamp, UpstreamRegistry,
+    Contact, CrashCause, Era, EvacuationList, IngressDeclaration, InstanceRegistry, Millicores,
+    Millis, Quarantine, QuarantineList, QuarantineListEntry, Removal, RequestLimits, Revision,
+    StoreChange, StoreChangeLog, StoreChanges, StoreSnapshot, Timestamp, UpstreamRegistry,
     UpstreamRegistryEntry, UpstreamState,
 };
 
@@ -199,7 +199,14 @@
         ..StoreSnapshot::default()
     };
     let quarantines = QuarantineList::default();
-    let forwarded = snapshot.changes_from(1, &registry, &instances, &quarantines, Removal::Certain);
+    let forwarded = snapshot.changes_from(
+        1,
+        &registry,
+        &instances,
+        &quarantines,
+        &EvacuationList::default(),
+        Removal::Certain,
+    );
     assert_eq!(forwarded.revision, Revision::new(Era(1), 9));
     assert_eq!(forwarded.changes.len(), 5, "{forwarded:?}");
     apply(&mut registry, &forwarded);
@@ -270,7 +277,14 @@
         processor: Millicores(500),
     });
     let upstreams = UpstreamRegistry::default();
-    let forwarded = snapshot.changes_from(0, &upstreams, &instances, &list, Removal::Certain);
+    let forwarded = snapshot.changes_from(
+        0,
+        &upstreams,
+        &instances,
+        &list,
+        &EvacuationList::default(),
+        Removal::Certain,
+    );
     assert_eq!(forwarded.changes.len(), 3, "{forwarded:?}");
     apply_quarantines(&mut list, &forwarded);
     assert_eq!(quarantines(&list), snapshot.quarantines);
--- a/limpetkeel/tests/table_freshness.rs
+++ b/limpetkeel/tests/table_freshness.rs
@@ -7,9 +7,9 @@
 mod pool;
 
 use limpetkeel::{
-    Era, Millis, Plan, PlanProcesses, Planner, PoolName, Removal, RequesterTables, Revision,
-    StaleReason, TableComparison, TableFreshness, Timestamp, UpstreamName, UpstreamRegistry,
-    UpstreamRegistryEntry, UpstreamState,
+    Era, EvacuationList, Millis, Plan, PlanProcesses, Planner, PoolName, Removal, RequesterTables,
+    Revision, StaleReason, TableComparison, TableFreshness, Timestamp, UpstreamName,
+    UpstreamRegistry, UpstreamRegistryEntry, UpstreamState,
 };
 use test_case::test_case;
 
@@ -169,7 +169,12 @@
         let name = &engine.upstream;
         let index: usize = name.as_str()[1..].parse().expect("index");
         let check = |registry: &UpstreamRegistry| {
-            let checked = PlanProcesses::default().check(registry, &pool_name(), &plan);
+            let checked = PlanProcesses::default().check(
+                registry,
+                &EvacuationList::default(),
+                &pool_name(),
+                &plan,
+            );
             checked.map_err(|stale| (stale.upstream, stale.reason))
         };
         let mut known = registry();
@@ -194,13 +199,16 @@
     let plan = plan(4_000);
     let mut processes = PlanProcesses::default();
     let mut known = registry();
-    assert_eq!(processes.check(&known, &pool_name(), &plan), Ok(()));
+    assert_eq!(
+        processes.check(&known, &EvacuationList::default(), &pool_name(), &plan),
+        Ok(())
+    );
     let index: usize = plan.lead.upstream.as_str()[1..].parse().expect("index");
     known.upsert(UpstreamRegistryEntry {
         start_time: 2,
         ..changed(index, UpstreamState::Ready, 5)
     });
-    let checked = processes.check(&known, &pool_name(), &plan);
+    let checked = processes.check(&known, &EvacuationList::default(), &pool_name(), &plan);
     assert_eq!(
         checked.map_err(|stale| stale.reason),
         Err(StaleReason::Replaced)
@@ -210,7 +218,12 @@
 #[test]
 fn an_upstream_that_only_the_planner_knows_is_used() {
     let known = UpstreamRegistry::default();
-    let checked = PlanProcesses::default().check(&known, &pool_name(), &plan(4_000));
+    let checked = PlanProcesses::default().check(
+        &known,
+        &EvacuationList::default(),
+        &pool_name(),
+        &plan(4_000),
+    );
     assert_eq!(checked, Ok(()));
 }
 
@@ -219,7 +232,12 @@
     let plan = plan(4_000);
     let mut known = registry();
     let check = |registry: &UpstreamRegistry| {
-        let checked = PlanProcesses::default().check(registry, &pool_name(), &plan);
+        let checked = PlanProcesses::default().check(
+            registry,
+            &EvacuationList::default(),
+            &pool_name(),
+            &plan,
+        );
         checked.map_err(|stale| stale.reason)
     };
     let lead = &plan.lead.upstream;
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -34,6 +34,8 @@
     pub outdated_planners: prometheus::IntCounter,
     /// Plans that were given back because they contradict the local tables, by reason.
     pub stale_plans: prometheus::IntCounterVec,
+    /// Evacuated availability zones.
+    pub evacuated_zones: prometheus::IntGauge,
     /// Decisions about causes of crashes, by kind.
     pub part_decisions: prometheus::IntCounterVec,
     /// Store calls, by kind and result.
@@ -123,6 +125,10 @@
                 "Plans given back because of an upstream that must not be used, by reason.",
                 &["reason"],
             )?,
+            evacuated_zones: registrar.gauge(
+                "limpetkeel_relay_evacuated_zones",
+                "Availability zones to whose upstreams nothing new is sent.",
+            )?,
             part_decisions: registrar.counter_vec(
                 "limpetkeel_relay_part_decisions_total",
                 "Decisions about parts of prompts and requests that may crash upstreams, by kind.",
--- a/limpetkeeld/src/relay/availability.rs
+++ b/limpetkeeld/src/relay/availability.rs
@@ -113,7 +113,12 @@
 /// Returns `None` if an upstream accepts requests, or if no upstream has said when it does again.
 pub fn pool_pause(shared: &shared::Shared, pool: &PoolName) -> Option<Millis> {
     let now = shared.clock.now();
-    let upstreams = shared.tables.lock().upstreams.ready_upstreams(pool);
+    let upstreams = {
+        let tables = shared.tables.lock();
+        let mut upstreams = tables.upstreams.ready_upstreams(pool);
+        upstreams.retain(|entry| !tables.evacuations.contains(&entry.availability_zone));
+        upstreams
+    };
     let availability = shared.availability.lock();
     let wait = availability.time_until_available(now, &upstreams);
     wait.filter(|wait| *wait > Millis::ZERO)
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -52,6 +52,9 @@
     if planner.is_outdated(generation) {
         planner.set_upstreams(generation, &tables.upstreams.ready_upstreams(pool));
     }
+    if planner.evacuated_zones() != tables.evacuations.zones() {
+        planner.set_evacuated_zones(tables.evacuations.zones().clone());
+    }
     let generation = tables.quarantines.generation();
     if planner.has_outdated_quarantines(generation) {
         let quarantines: Vec<_> = tables.quarantines.entries().collect();
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -62,8 +62,16 @@
         let now = shared.clock.now();
         let pool = &relayed.info().pool;
         let mut unavailable_upstreams = availability::unavailable_upstreams(shared, pool);
-        unavailable_upstreams.extend_from_slice(relayed.stale_upstreams());
-        let known_revision = shared.tables.lock().known_revision(pool);
+        let known_revision = {
+            let tables = shared.tables.lock();
+            if !relayed.stale_upstreams().is_empty() {
+                unavailable_upstreams.extend_from_slice(relayed.stale_upstreams());
+                let (upstreams, evacuations) = (&tables.upstreams, &tables.evacuations);
+                let ruled_out = limpetkeel::ruled_out_upstreams(upstreams, evacuations, pool);
+                unavailable_upstreams.extend(ruled_out);
+            }
+            tables.known_revision(pool)
+        };
         let plan_request = PlanRequest {
             id: RequestId(rand::random()),
             pool: relayed.info().pool.clone(),
@@ -172,7 +180,7 @@
 ) -> Result<(), PreparationFailure> {
     let tables = shared.tables.lock();
     processes
-        .check(&tables.upstreams, pool, plan)
+        .check(&tables.upstreams, &tables.evacuations, pool, plan)
         .map_err(PreparationFailure::Stale)
 }
 
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -3,9 +3,10 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    BodyBudget, Contact, Ingress, InstanceName, InstanceRegistry, LockLevel, OrderedMutex, Planner,
-    PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision,
-    StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability, UpstreamRegistry,
+    BodyBudget, Contact, EvacuationList, Ingress, InstanceName, InstanceRegistry, LockLevel,
+    OrderedMutex, Planner, PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit,
+    RetryWindow, Revision, StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability,
+    UpstreamRegistry,
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -25,6 +26,8 @@
     pub upstreams: UpstreamRegistry,
     /// The quarantined causes of crashes.
     pub quarantines: QuarantineList,
+    /// The evacuated availability zones.
+    pub evacuations: EvacuationList,
     /// The revision up to which all changes have been applied.
     pub revision: Revision,
     /// The revision at which the routing table was last replaced, after the first snapshot.
@@ -47,6 +50,7 @@
             ingress: Ingress::default(),
             upstreams: UpstreamRegistry::default(),
             quarantines: QuarantineList::default(),
+            evacuations: EvacuationList::default(),
             revision: Revision::default(),
             ingress_changed_at: Revision::default(),
             change_log: StoreChangeLog::default(),
@@ -64,6 +68,7 @@
         self.upstreams
             .changed_at(pool)
             .max(self.quarantines.changed_at())
+            .max(self.evacuations.changed_at())
             .max(self.ingress_changed_at)
     }
 }
--- a/limpetkeeld/src/relay/store_updates.rs
+++ b/limpetkeeld/src/relay/store_updates.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     peer::message,
-    relay::{jobs, shared},
+    relay::{evacuation, jobs, shared},
 };
 
 /// Time after a failure or a restore of the store during which deleted entries are treated as
@@ -49,6 +49,7 @@
         upstreams: tables.upstreams.entries().cloned().collect(),
         instances: shared.membership.lock().instances.contacts(),
         quarantines: tables.quarantines.stored_entries().copied().collect(),
+        evacuations: tables.evacuations.entries().collect(),
         unreadable: Vec::new(),
     }
 }
@@ -107,6 +108,7 @@
             &tables.upstreams,
             &membership.instances,
             &tables.quarantines,
+            &tables.evacuations,
             removal,
         );
         tables.change_log.append(&changes);
@@ -126,6 +128,7 @@
     tables
         .quarantines
         .replace(now, snapshot.quarantines, snapshot.revision);
+    evacuation::replace(shared, &mut tables, snapshot.evacuations, snapshot.revision);
     tables.revision = snapshot.revision;
     tracing::info!(
         event = "catalog_adopted",
@@ -201,6 +204,10 @@
             tables.quarantines.remove(cause, revision);
         }
         StoreChange::Unreadable(key) => record_unreadable(shared, &key),
+        StoreChange::Evacuation(entry) => evacuation::insert(shared, tables, entry),
+        StoreChange::EvacuationLifted(zone, revision) => {
+            evacuation::lift(shared, tables, &zone, revision);
+        }
     }
 }
 
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     peer::{self, message},
-    relay::{jobs, port, shared, store_updates},
+    relay::{evacuation, jobs, port, shared, store_updates},
 };
 
 /// Interval between store probes during a watch. With the duration of a call, an unreachable store
@@ -337,6 +337,7 @@
         let mut tables = shared.tables.lock();
         tables.upstreams.remove_expired(now);
         tables.quarantines.remove_expired(now);
+        evacuation::remove_expired(&shared, &mut tables);
         shared.membership.lock().instances.remove_expired(now);
         let mut availability = shared.availability.lock();
         availability.remove_expired(now, &tables.upstreams);
