--- a/standins/tests/evacuation.rs
+++ b/standins/tests/evacuation.rs
@@ -20,22 +20,25 @@
     let deployment = Deployment::start(daemon_count, 2)
         .await
         .expect("deployment");
-    for (upstream, zone) in deployment.upstreams.iter().zip(["x", "y"]) {
-        register(&deployment, upstream, zone);
-    }
+    let zones = deployment.upstreams.iter().zip(["x", "y"]);
+    let revisions = zones.map(|(upstream, zone)| register(&deployment, upstream, zone));
+    let last = format!("revision=1.{}\n", revisions.last().expect("upstream"));
     daemon::wait_until("both zones are known", async || {
         let log = deployment.log();
-        log.matches("event=upstream_listed upstream=u1").count() >= 2 * daemon_count
+        let listed = log.split_inclusive('\n');
+        let listed = listed.filter(|line| line.contains("event=upstream_listed"));
+        listed.filter(|line| line.ends_with(&last)).count() == daemon_count
     })
     .await
     .expect("known");
     deployment
 }
 
-fn register(deployment: &Deployment, upstream: &Upstream, zone: &str) {
+/// Writes the entry of an upstream, and returns its revision.
+fn register(deployment: &Deployment, upstream: &Upstream, zone: &str) -> u64 {
     let entry = upstream.registry_entry("desk", zone, "ready");
     let key = format!("{}{}", names::UPSTREAM_PREFIX, upstream.name);
-    deployment.store.put(&key, &entry.expect("entry"));
+    deployment.store.put(&key, &entry.expect("entry"))
 }
 
 fn evacuate(deployment: &Deployment, zone: &str, value: &[u8]) {
@@ -44,7 +47,7 @@
 }
 
 /// Waits until the daemons have written a line with this event so often.
-async fn wait_for_event(deployment: &Deployment, event: &str, count: usize) {
+async fn wait_for_event(deployment: &Deployment, event: &'static str, count: usize) {
     let line = format!("event={event} ");
     daemon::wait_until(event, async || {
         deployment.log().matches(&line).count() >= count
@@ -140,3 +143,19 @@
     send_all(&deployment, "GET", "/look/x").await;
     assert!(received_count(&deployment, 0) > before, "used again");
 }
+
+#[tokio::test]
+async fn an_item_of_which_only_the_key_can_be_read_evacuates() {
+    let mut deployment = start(1).await;
+    let key = format!("{}x", names::EVACUATION_PREFIX);
+    deployment
+        .store
+        .add_malformed_item(&format!(r#"{{"key": "{key}", "revision": "none"}}"#));
+    deployment.restart_daemon(0).expect("started");
+    deployment.wait_ready(0).await.expect("ready");
+    let before = received_count(&deployment, 0);
+    for response in send_all(&deployment, "GET", "/look/x").await {
+        assert_eq!(response.signed_by.as_deref(), Some("u1"));
+    }
+    assert_eq!(received_count(&deployment, 0), before);
+}
