--- a/limpetkeeld/src/relay/drain.rs
+++ b/limpetkeeld/src/relay/drain.rs
@@ -1,6 +1,10 @@
 //! Graceful shutdown: the instance fails its readiness check, finishes its requests, and stops.
 
-use std::{io, sync, time};
+use std::{
+    io,
+    sync::{self, atomic},
+    time,
+};
 
 use limpetkeel::{DrainSchedule, RelayedRequest, Timestamp};
 use tokio::signal::unix;
@@ -13,7 +17,8 @@
 /// Time to send the last reports to peers and releases to upstreams before the process exits.
 const REPORT_DELAY: time::Duration = time::Duration::from_millis(200);
 
-/// Maximum number of unfinished requests that are logged one by one.
+/// Maximum number of unfinished requests that are logged one by one, and of requests and connections
+/// that ended early during the drain.
 const MAX_LOGGED_REQUESTS: usize = 64;
 
 /// The handlers of the signals that start a drain. Without them a signal ends the process.
@@ -121,6 +126,33 @@
     }
 }
 
+/// Logs which task ended a request or its connection early during a drain, and why. Does nothing
+/// unless the instance is draining.
+pub fn log_early_end(shared: &shared::Shared, task: &str, request: &str, reason: &str) {
+    let schedule = {
+        let membership = shared.membership.lock();
+        let state = membership.local_state.get();
+        state.and_then(|state| state.drain_schedule(shared.settings.drain_timeout))
+    };
+    let Some(schedule) = schedule else {
+        return;
+    };
+    let logged = shared
+        .logged_early_ends
+        .fetch_add(1, atomic::Ordering::Relaxed);
+    if logged >= MAX_LOGGED_REQUESTS {
+        return;
+    }
+    tracing::info!(
+        event = "ended_while_draining",
+        task,
+        request,
+        reason,
+        draining_ms = shared.clock.now().since(schedule.since()).0,
+        closing = shared.closing.is_cancelled(),
+    );
+}
+
 /// Counts and logs the requests that are still in progress, and returns their number.
 fn record_unfinished(shared: &shared::Shared) -> usize {
     let now = shared.clock.now();
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -53,7 +53,11 @@
             }
             Ok(Completion::Abandoned) => return,
             Ok(Completion::Complete(response)) => response_writer::Response::Complete(response),
-            Err(reason) => self.summary.final_response(&self.shared, &pool, reason),
+            Err(reason) => {
+                let id = &self.request.head.id;
+                drain::log_early_end(&self.shared, "driver", id, reason.code());
+                self.summary.final_response(&self.shared, &pool, reason)
+            }
         };
         self.result = Some(request_summary::RequestResult::from_response(&response));
         self.writer.finish(response).await;
@@ -63,6 +67,9 @@
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         // A caller that disconnects aborts this task before a result is set.
+        if self.result.is_none() {
+            drain::log_early_end(&self.shared, "driver", &self.request.head.id, "aborted");
+        }
         let result = self
             .result
             .unwrap_or(request_summary::RequestResult::Abandoned);
--- a/limpetkeeld/src/relay/exchange.rs
+++ b/limpetkeeld/src/relay/exchange.rs
@@ -19,6 +19,7 @@
 /// Keeps a request counted as in progress until it is dropped.
 struct ExchangeGuard {
     shared: sync::Arc<shared::Shared>,
+    request: sync::Arc<str>,
     key: u64,
 }
 
@@ -34,6 +35,11 @@
         let previous = self.0.lock().replace(guard);
         drop(previous);
     }
+
+    /// Returns the caller's ID of the latest request of the connection, if there was one.
+    pub fn latest_request(&self) -> Option<sync::Arc<str>> {
+        self.0.lock().as_ref().map(|guard| guard.request.clone())
+    }
 }
 
 impl ExchangeGuard {
@@ -42,9 +48,11 @@
         let mut requests = shared.requests.lock();
         let key = requests.next_exchange;
         requests.next_exchange += 1;
+        let request = exchange.request.clone();
         requests.in_progress.insert(key, exchange);
         ExchangeGuard {
             shared: shared.clone(),
+            request,
             key,
         }
     }
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -57,7 +57,7 @@
     let limits = limits.unwrap_or(DEFAULT_LIMITS);
     let exchange = sync::Arc::new(exchange::ConnectionExchange::default());
     let handler = service::service_fn({
-        let shared = shared.clone();
+        let (shared, exchange) = (shared.clone(), exchange.clone());
         move |req| handle(shared.clone(), exchange.clone(), req)
     });
     let serving = http1::Builder::new()
@@ -66,12 +66,20 @@
         .max_buf_size((limits.max_head.0 as usize).max(MIN_BUFFER_BYTES))
         .serve_connection(rt::TokioIo::new(stream), handler);
     tokio::pin!(serving);
-    tokio::select! {
-        // An error means that the caller disconnected or sent no valid request.
-        _ = serving.as_mut() => return,
-        () = shared.closing.cancelled() => serving.as_mut().graceful_shutdown(),
+    let result = tokio::select! {
+        result = serving.as_mut() => result,
+        () = shared.closing.cancelled() => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    // An error means that the caller disconnected, that it sent no valid request, or that the driver of
+    // its request ended in the middle of the response.
+    if let Err(e) = result
+        && let Some(request) = exchange.latest_request()
+    {
+        drain::log_early_end(&shared, "connection", &request, &e.to_string());
     }
-    let _ = serving.await;
 }
 
 /// Handles one request. A draining instance adds `connection: close` to the response.
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -1,6 +1,9 @@
 //! The shared tables of a relay instance and the order in which they are locked.
 
-use std::{collections, sync};
+use std::{
+    collections,
+    sync::{self, atomic},
+};
 
 use limpetkeel::{
     BodyBudget, Contact, EvacuationList, Ingress, InstanceName, InstanceRegistry, LockLevel,
@@ -135,6 +138,8 @@
     pub catch_up: sync::Arc<Semaphore>,
     /// Cancelled when the instance starts to drain.
     pub draining: CancellationToken,
+    /// The number of requests and connections that ended early during the drain.
+    pub logged_early_ends: atomic::AtomicUsize,
     /// Cancelled when the instance stops accepting connections.
     pub closing: CancellationToken,
     /// Lock order 1 (`LockLevel::Tables`).
@@ -192,6 +197,7 @@
             era_changed: Notify::new(),
             catch_up: sync::Arc::new(Semaphore::new(1)),
             draining: CancellationToken::new(),
+            logged_early_ends: atomic::AtomicUsize::new(0),
             closing: CancellationToken::new(),
             tables: OrderedMutex::new(LockLevel::Tables, Tables::new(&settings.instance)),
             membership: OrderedMutex::new(LockLevel::Members, membership),
--- a/standins/tests/evacuation.rs
+++ b/standins/tests/evacuation.rs
@@ -21,8 +21,10 @@
         .await
         .expect("deployment");
     let zones = deployment.upstreams.iter().zip(["x", "y"]);
-    let revisions = zones.map(|(upstream, zone)| register(&deployment, upstream, zone));
-    let last = format!("revision=1.{}\n", revisions.last().expect("upstream"));
+    let revisions: Vec<_> = zones
+        .map(|(upstream, zone)| register(&deployment, upstream, zone))
+        .collect();
+    let last = format!("revision=1.{}\n", revisions[1]);
     daemon::wait_until("both zones are known", async || {
         let log = deployment.log();
         let listed = log.split_inclusive('\n');
