--- a/limpetkeeld/src/relay/freshness.rs
+++ b/limpetkeeld/src/relay/freshness.rs
@@ -122,28 +122,41 @@
             .peers
             .call(contact.address, &req, FETCH_TIMEOUT)
             .await;
-        let update = match response {
-            Ok(message::Response::Changes(message::ChangesResponse::Changes(changes, _))) => {
-                Some(jobs::TableUpdate::Changes(changes))
+        let received = match response {
+            Ok(message::Response::Changes(message::ChangesResponse::Changes(changes, age))) => {
+                Some((jobs::TableUpdate::Changes(changes), age))
             }
-            Ok(message::Response::Changes(message::ChangesResponse::Snapshot(snapshot, _))) => {
+            Ok(message::Response::Changes(message::ChangesResponse::Snapshot(snapshot, age))) => {
                 let source = jobs::SnapshotSource::Peer;
-                Some(jobs::TableUpdate::Snapshot(snapshot, source))
+                Some((jobs::TableUpdate::Snapshot(snapshot, source), age))
             }
             _ => None,
         };
+        let revision = received.as_ref().map(|(update, _)| update.revision());
         tracing::info!(
             event = "tables_fetched",
             instance = %contact.name,
             after = %after.revision,
-            revision = update.as_ref().map(|update| update.revision().to_string()),
+            revision = revision.map(|revision| revision.to_string()),
         );
-        match update {
-            Some(update) if update.revision() > after.revision => {
+        match received {
+            Some((update, age)) if update.revision() > after.revision => {
+                let revision = update.revision();
                 shared.jobs.update_tables(update).await;
+                record_age(&shared, revision, age);
             }
             _ => tokio::time::sleep(FETCH_BACKOFF).await,
         }
         drop(permit);
     });
 }
+
+/// Records that the local tables were current `age` ago, if they include a revision that another
+/// instance had then. Whether the store responds to this instance is another matter.
+fn record_age(shared: &shared::Shared, revision: Revision, age: Millis) {
+    let now = shared.clock.now();
+    let mut tables = shared.tables.lock();
+    if tables.revision.era() == revision.era() && tables.revision >= revision {
+        tables.follower.record_current(now, age);
+    }
+}
