--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -17,6 +17,7 @@
 mod cold;
 mod delay;
 mod ejection;
+mod evacuation;
 mod evidence;
 mod health;
 mod helpers;
@@ -97,6 +98,8 @@
     request_limits: request_limits::RequestLimits,
     ejections: ejection::Ejections,
     cold: cold::ColdUpstreams,
+    /// The availability zones to whose upstreams nothing new is sent.
+    evacuated_zones: collections::BTreeSet<name::AvailabilityZoneName>,
     registry_generation: Option<u64>,
     quarantine_generation: Option<u64>,
 }
@@ -121,6 +124,7 @@
             request_limits: request_limits::RequestLimits::default(),
             ejections: ejection::Ejections::default(),
             cold: cold::ColdUpstreams::default(),
+            evacuated_zones: collections::BTreeSet::new(),
             registry_generation: None,
             quarantine_generation: None,
         }
@@ -153,6 +157,7 @@
         }
         self.prefill_set.set_upstreams(self.upstreams.values());
         self.ejections.set_upstreams(&self.upstreams);
+        self.leave_evacuated();
     }
 
     /// Sets the timing of the pool's engines and the shortest gap that a streaming route allows.
@@ -189,6 +194,9 @@
         self.waiting.remove_expired(now);
         self.apply_limit_notices(now, request);
         self.refresh_cold(now, request);
+        if self.open_upstream_count() == 0 {
+            return Err(self.no_candidate());
+        }
         let isolation = self.screen(now, request)?;
         let isolated;
         let request = match isolation {
@@ -329,11 +337,12 @@
         };
         let (health, limits) = (&self.health, &self.request_limits);
         let (ejections, cold) = (&self.ejections, &self.cold);
+        let evacuated = &self.evacuated_zones;
         let zone = &request.availability_zone;
         let reachable = prefill_set::ReachableUpstreams {
             upstreams: &self.upstreams,
             is_reachable: &|upstream| {
-                is_available(request, upstream)
+                evacuation::is_available(request, evacuated, upstream)
                     && health.is_reliable(now, zone, upstream)
                     && ejections.is_serving(upstream.name())
             },
@@ -361,7 +370,7 @@
         let available = self.upstreams.values();
         let any_in_service = self.reaches_any_in_service(now, request);
         let available = available.filter(move |upstream| {
-            is_available(request, upstream)
+            self.is_usable(request, upstream)
                 && self.limits_allow(now, upstream)
                 && (!any_in_service || self.admits(now, request, upstream))
         });
@@ -410,8 +419,3 @@
         }
     }
 }
-
-/// Returns `true` if the request may use an upstream.
-fn is_available(request: &plan::PlanRequest, upstream: &upstream::Upstream) -> bool {
-    !request.unavailable_upstreams.contains(upstream.name())
-}
--- a/limpetkeel/src/planner/request_limits.rs
+++ b/limpetkeel/src/planner/request_limits.rs
@@ -165,7 +165,7 @@
         let upstreams = self.upstreams.values();
         let any_in_service = self.reaches_any_in_service(now, request);
         let available = upstreams.filter(|upstream: &&upstream::Upstream| {
-            planner::is_available(request, upstream)
+            self.is_usable(request, upstream)
                 && (!any_in_service || self.admits(now, request, upstream))
         });
         let mut waits_ms = Vec::new();
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -62,6 +62,9 @@
     if is_outdated || planner.has_other_cold_limit(cold_limit) {
         planner.set_cold(cold_limit, &tables.upstreams.cold_periods(now, pool));
     }
+    if planner.evacuated_zones() != tables.evacuations.zones() {
+        planner.set_evacuated_zones(tables.evacuations.zones().clone());
+    }
     let generation = tables.quarantines.generation();
     if planner.has_outdated_quarantines(generation) {
         let quarantines: Vec<_> = tables.quarantines.entries().collect();
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -1,11 +1,15 @@
 //! The shared tables of a relay instance and the order in which they are locked.
 
-use std::{collections, sync};
+use std::{
+    collections,
+    sync::{self, atomic},
+};
 
 use limpetkeel::{
-    BodyBudget, Contact, Ingress, InstanceName, InstanceRegistry, LockLevel, OrderedMutex, Planner,
-    PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision,
-    StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability, UpstreamRegistry,
+    BodyBudget, Contact, EvacuationList, Ingress, InstanceName, InstanceRegistry, LockLevel,
+    OrderedMutex, Planner, PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit,
+    RetryWindow, Revision, StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability,
+    UpstreamRegistry,
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -25,6 +29,8 @@
     pub upstreams: UpstreamRegistry,
     /// The quarantined causes of crashes.
     pub quarantines: QuarantineList,
+    /// The evacuated availability zones.
+    pub evacuations: EvacuationList,
     /// The revision up to which all changes have been applied.
     pub revision: Revision,
     /// The revision at which the routing table was last replaced, after the first snapshot.
@@ -47,6 +53,7 @@
             ingress: Ingress::default(),
             upstreams: UpstreamRegistry::default(),
             quarantines: QuarantineList::default(),
+            evacuations: EvacuationList::default(),
             revision: Revision::default(),
             ingress_changed_at: Revision::default(),
             change_log: StoreChangeLog::default(),
@@ -64,6 +71,7 @@
         self.upstreams
             .changed_at(pool)
             .max(self.quarantines.changed_at())
+            .max(self.evacuations.changed_at())
             .max(self.ingress_changed_at)
     }
 }
@@ -130,6 +138,8 @@
     pub catch_up: sync::Arc<Semaphore>,
     /// Cancelled when the instance starts to drain.
     pub draining: CancellationToken,
+    /// The number of requests and connections that ended early during the drain.
+    pub logged_early_ends: atomic::AtomicUsize,
     /// Cancelled when the instance stops accepting connections.
     pub closing: CancellationToken,
     /// Lock order 1 (`LockLevel::Tables`).
@@ -187,6 +197,7 @@
             era_changed: Notify::new(),
             catch_up: sync::Arc::new(Semaphore::new(1)),
             draining: CancellationToken::new(),
+            logged_early_ends: atomic::AtomicUsize::new(0),
             closing: CancellationToken::new(),
             tables: OrderedMutex::new(LockLevel::Tables, Tables::new(&settings.instance)),
             membership: OrderedMutex::new(LockLevel::Members, membership),
