Bound what is read of a response of an upstream

Interim heads are bounded in count and bytes, error bodies have a limit of their own, and a connection yields after 64 KiB. The end of an event is searched once in each byte. Events for a slow caller are bounded in bytes, and a driver no longer waits for a caller that has stopped reading. Responses of the store and messages before a peer is authenticated are bounded as well.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -58,6 +58,7 @@
 mod request;
 mod request_limit;
 mod request_size;
+mod response_limit;
 mod retry_window;
 mod revision;
 mod route;
@@ -123,6 +124,7 @@
 };
 pub use request_limit::{AnnouncedLimit, AnnouncedLimits, LimitNotice, RequestRate};
 pub use request_size::{LONG_PROMPT, RequestSize, TokenEstimator};
+pub use response_limit::{BodyAllowance, HeadAllowance, MAX_EVENT, MAX_HEAD, ResponseLimit};
 pub use retry_window::{RetryLimit, RetryWindow};
 pub use revision::{Era, Revision};
 pub use route::{Declaration as RouteDeclaration, Kind as RouteKind, Route};
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -16,6 +16,8 @@
     pub refusals: prometheus::IntCounterVec,
     /// Failed attempts that may be retried, by reason.
     pub retries: prometheus::IntCounterVec,
+    /// Responses of upstreams that exceeded a limit, by limit.
+    pub responses_over_limit: prometheus::IntCounterVec,
     /// Streams that broke off after they started and may continue on another upstream.
     pub resumed_streams: prometheus::IntCounter,
     /// Requests whose caller disconnected before the response was complete.
@@ -79,6 +81,11 @@
                 "Attempts that were followed by another one, by reason.",
                 &["reason"],
             )?,
+            responses_over_limit: registrar.counter_vec(
+                "limpetkeel_relay_responses_over_limit_total",
+                "Responses of upstreams that exceeded a limit, by limit.",
+                &["limit"],
+            )?,
             resumed_streams: registrar.counter(
                 "limpetkeel_relay_resumed_total",
                 "Streams that went on at another upstream.",
--- a/limpetkeeld/src/peer.rs
+++ b/limpetkeeld/src/peer.rs
@@ -19,6 +19,15 @@
 /// The maximum length of a message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
 
+/// The maximum length of a message of the handshake, in bytes. Its sender is not authenticated yet.
+const MAX_HANDSHAKE_BYTES: usize = 4 * 1024;
+
+/// The maximum size of the headers of a message, in bytes. Messages have none but the path.
+const MAX_HEADER_BYTES: u32 = 16 * 1024;
+
+/// The maximum number of messages on a link that have no response yet.
+const MAX_PENDING_MESSAGES: u32 = 1_024;
+
 /// The flow-control window, in bytes; large enough for one complete message.
 const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 
@@ -77,12 +86,12 @@
     }
 }
 
-async fn receive_message(body: &mut h2::RecvStream) -> Result<Vec<u8>, Error> {
+async fn receive_message(body: &mut h2::RecvStream, max_bytes: usize) -> Result<Vec<u8>, Error> {
     let mut message = Vec::new();
     while let Some(bytes) = body.data().await {
         let bytes = bytes?;
         let _ = body.flow_control().release_capacity(bytes.len());
-        if message.len() + bytes.len() > MAX_MESSAGE_BYTES {
+        if message.len() + bytes.len() > max_bytes {
             return Err(Error::Malformed);
         }
         message.extend_from_slice(&bytes);
--- a/limpetkeeld/src/peer/client.rs
+++ b/limpetkeeld/src/peer/client.rs
@@ -49,7 +49,7 @@
         if res.status() == http::StatusCode::FORBIDDEN {
             return Err(peer::Error::Unauthenticated);
         }
-        peer::receive_message(&mut res.into_body()).await
+        peer::receive_message(&mut res.into_body(), peer::MAX_MESSAGE_BYTES).await
     }
 }
 
@@ -175,6 +175,8 @@
             let (sender, mut connection) = h2::client::Builder::new()
                 .initial_window_size(peer::WINDOW_BYTES)
                 .initial_connection_window_size(peer::WINDOW_BYTES)
+                .max_header_list_size(peer::MAX_HEADER_BYTES)
+                .enable_push(false)
                 .handshake::<_, Bytes>(stream)
                 .await?;
             if let Some(pings) = connection.ping_pong() {
--- a/limpetkeeld/src/peer/server.rs
+++ b/limpetkeeld/src/peer/server.rs
@@ -13,6 +13,9 @@
 /// The time allowed to send a refusal before the connection is closed.
 const CLOSE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
 
+/// The time allowed for the handshake. The connecting side gives up sooner.
+const HANDSHAKE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(2_000);
+
 /// Handles the messages of authenticated peers.
 pub trait RequestHandler: Send + Sync + 'static {
     /// Handles a message and returns its response.
@@ -59,7 +62,7 @@
         // The body arrives only while the connection is polled. A second stream before the
         // handshake is complete is a protocol error.
         let message = tokio::select! {
-            message = peer::receive_message(&mut body) => message?,
+            message = peer::receive_message(&mut body, peer::MAX_HANDSHAKE_BYTES) => message?,
             _ = self.connection.accept() => return Err(peer::Error::Malformed),
         };
         Ok((message, respond))
@@ -107,6 +110,7 @@
             self.flush_and_close().await;
             return Err(e);
         }
+        self.connection.set_target_window_size(peer::WINDOW_BYTES);
         Ok(Link {
             connection: self.connection,
             state: Authenticated,
@@ -135,7 +139,7 @@
 
 async fn handle_stream<H: RequestHandler>(stream: Stream, handler: &H) -> Result<(), peer::Error> {
     let (req, mut respond) = stream;
-    let message = peer::receive_message(&mut req.into_body()).await?;
+    let message = peer::receive_message(&mut req.into_body(), peer::MAX_MESSAGE_BYTES).await?;
     let message = peer::decode(&message)?;
     let response = tokio::select! {
         response = handler.handle(message) => response,
@@ -212,19 +216,28 @@
         metrics.peer_bytes.with_label_values(&["sent"]),
         metrics.peer_bytes.with_label_values(&["received"]),
     );
+    let authenticating = tokio::time::timeout(HANDSHAKE_TIMEOUT, authenticate(stream, key));
+    let link = authenticating
+        .await
+        .map_err(|_| peer::Error::Unauthenticated)??;
+    link.serve(handler).await
+}
+
+/// Accepts a link whose client proves that it knows the key. Until then, the window of the
+/// connection has its default size, so that other clients cannot fill the memory.
+async fn authenticate(
+    stream: counting_stream::CountingStream,
+    key: &[u8],
+) -> Result<Link<Authenticated>, peer::Error> {
     let connection = h2::server::Builder::new()
         .initial_window_size(peer::WINDOW_BYTES)
-        .initial_connection_window_size(peer::WINDOW_BYTES)
+        .max_header_list_size(peer::MAX_HEADER_BYTES)
+        .max_concurrent_streams(peer::MAX_PENDING_MESSAGES)
         .handshake(stream)
         .await?;
     let link = Link {
         connection,
         state: AwaitingHello,
     };
-    link.challenge(key)
-        .await?
-        .verify_proof(key)
-        .await?
-        .serve(handler)
-        .await
+    link.challenge(key).await?.verify_proof(key).await
 }
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -2,17 +2,17 @@
 
 use std::{sync, time};
 
-use bytes::{Bytes, BytesMut};
-use limpetkeel::{Millis, Plan, RelayedRequest, ResponseForm, RetryPolicy, Sent, UpstreamName};
+use bytes::Bytes;
+use limpetkeel::{
+    BodyAllowance, Millis, Plan, RelayedRequest, ResponseForm, ResponseLimit, RetryPolicy, Sent,
+    UpstreamName,
+};
 
 use crate::relay::{
-    availability, caller_request, drain, planning, port, response_writer, retry_budget, shared,
-    stream, upstream,
+    availability, caller_request, drain, planning, port, response_body, response_writer,
+    retry_budget, shared, stream, upstream,
 };
 
-/// Maximum size of a complete response body, in bytes. Complete responses are buffered.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
 /// Timeout for a complete response, as a multiple of the route's objective, while a retry is
 /// possible.
 const COMPLETE_TIMEOUT_FACTOR: f64 = 2.5;
@@ -55,8 +55,10 @@
 pub enum Cause {
     /// The connection broke before the response began.
     Crashed,
-    /// The connection broke during the response, or the response was malformed or too large.
+    /// The connection broke during the response, or the response was malformed.
     Broken,
+    /// The response exceeds a limit.
+    LimitExceeded(ResponseLimit),
     /// The response did not arrive in time.
     TimedOut,
     /// The response is for another request, unsigned, or encoded, which callers do not accept.
@@ -71,6 +73,7 @@
         match self {
             Cause::Crashed => "crashed",
             Cause::Broken => "broken",
+            Cause::LimitExceeded(_) => "over_limit",
             Cause::TimedOut => "silent",
             Cause::Mismatched => "not_own",
             Cause::NotEvents => "not_events",
@@ -168,6 +171,7 @@
         .map_err(|_| Failure::Failed(Cause::TimedOut))?
         .map_err(|e| match e {
             upstream::Error::Broken => Failure::Failed(Cause::Crashed),
+            upstream::Error::LimitExceeded(limit) => Failure::Failed(Cause::LimitExceeded(limit)),
             _ => Failure::Failed(Cause::Broken),
         })?;
     if response.head.status.is_informational() {
@@ -216,11 +220,22 @@
             }
             Err(stream::Failure::Broken) => Err(Failure::Failed(Cause::Broken)),
             Err(stream::Failure::NotEvents) => Err(Failure::Failed(Cause::NotEvents)),
+            Err(stream::Failure::LimitExceeded(limit)) => {
+                Err(Failure::Failed(Cause::LimitExceeded(limit)))
+            }
             Err(stream::Failure::CallerDisconnected) => Err(Failure::CallerDisconnected),
         };
     }
-    let collected = tokio::time::timeout_at(response_deadline, collect_body(&mut response)).await;
-    let body = collected.map_err(|_| Failure::Failed(Cause::TimedOut))??;
+    let collecting = response_body::receive(&mut response, BodyAllowance::new(success));
+    let collected = tokio::time::timeout_at(response_deadline, collecting).await;
+    let body = collected
+        .map_err(|_| Failure::Failed(Cause::TimedOut))?
+        .map_err(|e| match e {
+            response_body::Error::Broken => Failure::Failed(Cause::Broken),
+            response_body::Error::LimitExceeded(limit) => {
+                Failure::Failed(Cause::LimitExceeded(limit))
+            }
+        })?;
     let complete = response_writer::CompleteResponse {
         head: shared.codec.encode_response(&response.head),
         body,
@@ -245,18 +260,3 @@
     let entry = entries.find(|entry| entry.address == address)?;
     Some(entry.name.clone())
 }
-
-/// Receives a complete body of at most [`MAX_RESPONSE_BYTES`].
-async fn collect_body(response: &mut upstream::Response) -> Result<Bytes, Failure> {
-    let mut body = BytesMut::new();
-    loop {
-        match response.next().await {
-            Err(_) => return Err(Failure::Failed(Cause::Broken)),
-            Ok(None) => return Ok(body.freeze()),
-            Ok(Some(bytes)) if body.len() + bytes.len() <= MAX_RESPONSE_BYTES => {
-                body.extend_from_slice(&bytes);
-            }
-            Ok(Some(_)) => return Err(Failure::Failed(Cause::Broken)),
-        }
-    }
-}
--- a/limpetkeeld/src/relay/body.rs
+++ b/limpetkeeld/src/relay/body.rs
@@ -5,9 +5,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, combinators::UnsyncBoxBody};
 use hyper::body;
-use tokio::sync::mpsc;
 
-use crate::relay::task;
+use crate::relay::{event_queue, task};
 
 /// The response stream broke off. The connection is closed so that the caller can tell that the
 /// response is incomplete.
@@ -32,25 +31,21 @@
         .boxed_unsync()
 }
 
-/// Returns a body that yields the chunks received from a channel. Dropping the body aborts
-/// `driver`.
-pub fn from_channel(
-    rx: mpsc::Receiver<Result<Bytes, StreamBroken>>,
-    driver: task::AbortOnDrop,
-) -> Body {
-    ChannelBody {
+/// Returns a body that yields the events of a queue. Dropping the body aborts `driver`.
+pub fn from_queue(rx: event_queue::Receiver, driver: task::AbortOnDrop) -> Body {
+    QueueBody {
         rx,
         _driver: driver,
     }
     .boxed_unsync()
 }
 
-struct ChannelBody {
-    rx: mpsc::Receiver<Result<Bytes, StreamBroken>>,
+struct QueueBody {
+    rx: event_queue::Receiver,
     _driver: task::AbortOnDrop,
 }
 
-impl body::Body for ChannelBody {
+impl body::Body for QueueBody {
     type Data = Bytes;
     type Error = StreamBroken;
 
@@ -58,8 +53,6 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut std_task::Context<'_>,
     ) -> std_task::Poll<Option<Result<body::Frame<Bytes>, StreamBroken>>> {
-        self.rx
-            .poll_recv(cx)
-            .map(|part| part.map(|bytes| bytes.map(body::Frame::data)))
+        self.rx.poll_frame(cx)
     }
 }
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -2,7 +2,9 @@
 
 use std::sync;
 
-use limpetkeel::{AttemptResult, Plan, RelayedRequest, Routed, Sent, Timestamp, UpstreamName};
+use limpetkeel::{
+    AttemptResult, Plan, RelayedRequest, ResponseLimit, Routed, Sent, Timestamp, UpstreamName,
+};
 
 use crate::relay::{
     attempt, caller_request, drain, planning, preparation, request_summary, reservations,
@@ -43,6 +45,7 @@
         let response = match result {
             Ok(Completion::Streamed) => {
                 self.result = Some(request_summary::RequestResult::Streamed);
+                self.writer.complete_stream().await;
                 return;
             }
             Ok(Completion::Abandoned) => return,
@@ -50,7 +53,7 @@
             Err(reason) => self.summary.final_response(&self.shared, &pool, reason),
         };
         self.result = Some(request_summary::RequestResult::from_response(&response));
-        self.writer.finish(response).await;
+        self.writer.finish(response);
     }
 }
 
@@ -273,7 +276,12 @@
             plan_guard.report().await;
             return AttemptOutcome::Retry(sent.into_failed());
         }
-        Err(attempt::Failure::Failed(cause)) => (lead, AttemptResult::Failed, cause.code()),
+        Err(attempt::Failure::Failed(cause)) => {
+            if let attempt::Cause::LimitExceeded(limit) = cause {
+                record_exceeded_limit(shared, request, &lead, limit);
+            }
+            (lead, AttemptResult::Failed, cause.code())
+        }
     };
     plan_guard.record_attempt_result(&at_fault, attempt_result);
     record_failed_attempt(shared, request, &at_fault, reason);
@@ -316,6 +324,23 @@
     }
 }
 
+/// Counts and logs a response that exceeds a limit.
+fn record_exceeded_limit(
+    shared: &shared::Shared,
+    request: &caller_request::CallerRequest,
+    upstream: &UpstreamName,
+    limit: ResponseLimit,
+) {
+    let responses = &shared.metrics.relay.responses_over_limit;
+    responses.with_label_values(&[limit.code()]).inc();
+    tracing::warn!(
+        event = "response_over_limit",
+        request = %request.head.id,
+        upstream = %upstream,
+        limit = limit.code(),
+    );
+}
+
 /// Counts and logs a failed attempt.
 fn record_failed_attempt(
     shared: &shared::Shared,
--- a/limpetkeeld/src/relay/events.rs
+++ b/limpetkeeld/src/relay/events.rs
@@ -1,9 +1,7 @@
 //! Splits a byte stream into complete server-sent events.
 
-use bytes::{Bytes, BytesMut};
-
-/// Maximum event size, in bytes. A longer event is rejected as malformed.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+use bytes::{Buf as _, Bytes, BytesMut};
+use limpetkeel::{MAX_EVENT, ResponseLimit};
 
 /// A complete event, byte for byte as the upstream sent it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,14 +12,12 @@
     pub id: Option<u64>,
 }
 
-/// The stream contains bytes that are not an event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NotAnEvent;
-
 /// Buffers bytes until an event is complete, so that a truncated event is never forwarded.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     bytes: BytesMut,
+    /// The number of buffered bytes in which no event ends.
+    searched: usize,
 }
 
 impl EventBuffer {
@@ -39,17 +35,25 @@
     ///
     /// # Errors
     ///
-    /// Returns [`NotAnEvent`] if the buffer exceeds the maximum event size without a complete
-    /// event.
-    pub fn next_event(&mut self) -> Result<Option<Event>, NotAnEvent> {
-        let end = self.bytes.windows(2).position(|pair| pair == b"\n\n");
+    /// Returns [`ResponseLimit::Event`] if the buffer exceeds the maximum event size without a
+    /// complete event.
+    pub fn next_event(&mut self) -> Result<Option<Event>, ResponseLimit> {
+        // The end may begin with the last byte that has been searched.
+        let start = self.searched.saturating_sub(1);
+        let end = self.bytes[start..]
+            .windows(2)
+            .position(|pair| pair == b"\n\n");
         let Some(end) = end else {
-            if self.bytes.len() > MAX_EVENT_BYTES {
-                return Err(NotAnEvent);
+            self.searched = self.bytes.len();
+            if self.bytes.len() as u64 > MAX_EVENT.0 {
+                return Err(ResponseLimit::Event);
             }
             return Ok(None);
         };
-        let bytes = self.bytes.split_to(end + 2).freeze();
+        // A copy, so that an event in the queue of a slow caller does not keep the buffer alive.
+        let bytes = Bytes::copy_from_slice(&self.bytes[..start + end + 2]);
+        self.bytes.advance(bytes.len());
+        self.searched = 0;
         let id = parse_id(&bytes);
         Ok(Some(Event { bytes, id }))
     }
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -260,7 +260,7 @@
             http::Response::from_parts(response.head, body::complete(response.body))
         }
         Ok(response_writer::Response::Stream(head, events)) => {
-            http::Response::from_parts(head, body::from_channel(events, driver))
+            http::Response::from_parts(head, body::from_queue(events, driver))
         }
         Ok(response_writer::Response::Refusal(refusal)) => {
             refusal_response(shared, Some(&id), refusal)
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use limpetkeel::{Millis, Plan, RelayedRequest, Sent};
+use limpetkeel::{Millis, Plan, RelayedRequest, ResponseLimit, Sent};
 
 use crate::relay::{
     caller_request, drain, events, planning, reservations, response_writer, retry_budget, shared,
@@ -32,8 +32,10 @@
     Stalled,
     /// The connection broke.
     Broken,
-    /// The stream contains bytes that are not an event, or begins with an event that cannot be first.
+    /// The stream begins with an event that cannot be first.
     NotEvents,
+    /// An event exceeds its limit, or the stream contains bytes that are not an event.
+    LimitExceeded(ResponseLimit),
     /// The caller disconnected.
     CallerDisconnected,
 }
@@ -152,7 +154,6 @@
     }
 
     fn next_event(&mut self) -> Result<Option<events::Event>, Failure> {
-        let event = self.buffer.next_event();
-        event.map_err(|events::NotAnEvent| Failure::NotEvents)
+        self.buffer.next_event().map_err(Failure::LimitExceeded)
     }
 }
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -1,13 +1,19 @@
 //! Connections to upstreams. Each request uses its own connection, so that a response cannot be
 //! matched to the wrong request.
 
-use std::{io, net, time};
+mod bounded_stream;
+
+use std::{error, io, net, time};
 
 use bytes::Bytes;
 use http::header;
 use http_body_util::{BodyExt as _, Full};
-use hyper::{body, client::conn::http1};
+use hyper::{
+    body::{self, Body as _},
+    client::conn::http1,
+};
 use hyper_util::rt;
+use limpetkeel::ResponseLimit;
 
 use crate::relay::task;
 
@@ -29,6 +35,9 @@
 /// may stay reserved on an engine without a request.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Maximum size of the read buffer of a connection, in bytes: the heads of one response.
+const MAX_BUFFER_BYTES: usize = limpetkeel::MAX_HEAD.0 as usize;
+
 /// The media type of event streams.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -41,6 +50,8 @@
     Broken,
     /// The response is not valid HTTP.
     Malformed,
+    /// The response heads exceed a limit.
+    LimitExceeded(ResponseLimit),
     /// The response did not arrive in time.
     TimedOut,
 }
@@ -75,6 +86,11 @@
             && !headers.contains_key(header::TRANSFER_ENCODING)
     }
 
+    /// Returns the length of the rest of the body, if the upstream announced it.
+    pub fn announced_len(&self) -> Option<limpetkeel::Bytes> {
+        self.body.size_hint().exact().map(limpetkeel::Bytes)
+    }
+
     /// Receives the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
@@ -115,7 +131,10 @@
             .map_err(|_| Error::NotConnected)?;
         stream.set_nodelay(true).map_err(|_| Error::NotConnected)?;
         enable_keepalive(&stream).map_err(|_| Error::NotConnected)?;
-        let (sender, connection) = http1::handshake(rt::TokioIo::new(stream))
+        let stream = bounded_stream::BoundedStream::new(stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(rt::TokioIo::new(stream))
             .await
             .map_err(|_| Error::NotConnected)?;
         let driver = task::AbortOnDrop::spawn(async move {
@@ -132,14 +151,7 @@
     /// Returns an error if no response arrives. The request may have run.
     pub async fn send(mut self, req: http::Request<Bytes>) -> Result<Response, Error> {
         let res = self.sender.send_request(req.map(Full::new)).await;
-        let res = res.map_err(|e| {
-            if e.is_parse() {
-                Error::Malformed
-            } else {
-                Error::Broken
-            }
-        });
-        let (head, body) = res?.into_parts();
+        let (head, body) = res.map_err(|e| classify_error(&e))?.into_parts();
         Ok(Response {
             head,
             body,
@@ -148,6 +160,24 @@
     }
 }
 
+/// Returns the reason why no response head was received.
+fn classify_error(e: &hyper::Error) -> Error {
+    let source = error::Error::source(e).and_then(|source| source.downcast_ref::<io::Error>());
+    let source = source.and_then(io::Error::get_ref);
+    let limit = source.and_then(|source| source.downcast_ref::<ResponseLimit>());
+    if let Some(limit) = limit {
+        return Error::LimitExceeded(*limit);
+    }
+    if e.is_parse_too_large() {
+        return Error::LimitExceeded(ResponseLimit::Head);
+    }
+    if e.is_parse() {
+        Error::Malformed
+    } else {
+        Error::Broken
+    }
+}
+
 /// Enables TCP keepalive on a connection, so that it breaks when the upstream loses power or
 /// becomes unreachable.
 ///
--- /dev/null
+++ b/limpetkeeld/tests/events.rs
@@ -0,0 +1,36 @@
+//! Splitting of a byte stream into events.
+
+use limpetkeel::{MAX_EVENT, ResponseLimit};
+use limpetkeeld::relay::events::EventBuffer;
+
+/// Guards against an end of an event that is missed because its two bytes arrive separately.
+#[test]
+fn an_end_that_is_split_between_pieces_is_found() {
+    let text = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    for piece_len in 1..=text.len() {
+        let mut buffer = EventBuffer::default();
+        let mut ids = Vec::new();
+        for piece in text.chunks(piece_len) {
+            buffer.push(piece);
+            while let Some(event) = buffer.next_event().expect("event") {
+                assert!(event.bytes.ends_with(b"\n\n"));
+                ids.push(event.id);
+            }
+        }
+        assert_eq!(ids, [Some(1), Some(2)], "pieces of {piece_len} bytes");
+        assert!(buffer.is_empty());
+    }
+}
+
+/// Guards against a search that starts from the beginning for each piece, which takes hours for an
+/// event of the maximum size in single bytes.
+#[test]
+fn an_event_of_the_maximum_size_may_arrive_in_single_bytes() {
+    let mut buffer = EventBuffer::default();
+    for _ in 0..MAX_EVENT.0 {
+        buffer.push(b"a");
+        assert_eq!(buffer.next_event(), Ok(None));
+    }
+    buffer.push(b"a");
+    assert_eq!(buffer.next_event(), Err(ResponseLimit::Event));
+}
