Test callers that do not stay within the limits

A crowd of callers sends bodies over the limit, or legal bodies, chunks and heads that stop just short of their end, to a real process whose limits are lowered in the test's settings. Bytes that were received and not read count as memory.

--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -1,7 +1,10 @@
 //! A small test deployment for relayed traffic: daemon processes, and stand-ins for the platform's
 //! store and for upstreams, whose failures can be controlled.
 
+pub mod crowd;
 pub mod daemon;
+pub mod options;
+pub mod process_usage;
 pub mod scripted;
 pub mod store;
 pub mod table;
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -7,6 +7,7 @@
 use crate::{
     deployment::{
         self,
+        options::DaemonOptions,
         store::Store,
         table::{self, Table},
         upstream::{Behavior, Upstream},
@@ -17,9 +18,6 @@
 /// The time limit for a condition to be met.
 const CONDITION_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
-/// The default drain timeout of the daemons.
-const DRAIN_TIMEOUT: time::Duration = time::Duration::from_secs(7);
-
 /// The interval at which conditions are checked.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -58,7 +56,7 @@
     pub upstreams: Vec<Upstream>,
     /// The daemon processes.
     pub daemons: Vec<Daemon>,
-    drain_timeout: time::Duration,
+    options: DaemonOptions,
     directory: path::PathBuf,
     http_client: reqwest::Client,
 }
@@ -125,7 +123,8 @@
         daemon_count: usize,
         upstream_count: usize,
     ) -> deployment::Result<Deployment> {
-        Deployment::start_with_drain_timeout(daemon_count, upstream_count, DRAIN_TIMEOUT).await
+        let options = DaemonOptions::default();
+        Deployment::start_with(daemon_count, upstream_count, options, &Table::default()).await
     }
 
     /// Starts a deployment like [`Deployment::start`] whose daemons have the given drain timeout.
@@ -137,10 +136,29 @@
         daemon_count: usize,
         upstream_count: usize,
         drain_timeout: time::Duration,
+    ) -> deployment::Result<Deployment> {
+        let options = DaemonOptions {
+            drain_timeout,
+            ..DaemonOptions::default()
+        };
+        Deployment::start_with(daemon_count, upstream_count, options, &Table::default()).await
+    }
+
+    /// Starts a deployment like [`Deployment::start`] with other settings of the daemons and another
+    /// table.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part of the deployment cannot be started or is not ready in time.
+    pub async fn start_with(
+        daemon_count: usize,
+        upstream_count: usize,
+        options: DaemonOptions,
+        table: &Table,
     ) -> deployment::Result<Deployment> {
         let mut deployment =
-            Deployment::start_daemons(daemon_count, upstream_count, drain_timeout).await?;
-        deployment.publish_table(&Table::default())?;
+            Deployment::start_daemons(daemon_count, upstream_count, options).await?;
+        deployment.publish_table(table)?;
         for upstream in &deployment.upstreams {
             deployment.register_upstream(upstream, "ready")?;
         }
@@ -160,13 +178,14 @@
         daemon_count: usize,
         upstream_count: usize,
     ) -> deployment::Result<Deployment> {
-        Deployment::start_daemons(daemon_count, upstream_count, DRAIN_TIMEOUT).await
+        let options = DaemonOptions::default();
+        Deployment::start_daemons(daemon_count, upstream_count, options).await
     }
 
     async fn start_daemons(
         daemon_count: usize,
         upstream_count: usize,
-        drain_timeout: time::Duration,
+        options: DaemonOptions,
     ) -> deployment::Result<Deployment> {
         let directory =
             std::env::temp_dir().join(format!("limpetkeel-{:016x}", rand::random::<u64>()));
@@ -175,7 +194,7 @@
             store: Store::start(daemon_count.max(1)).await?,
             upstreams: Vec::new(),
             daemons: Vec::new(),
-            drain_timeout,
+            options,
             directory,
             http_client: reqwest::Client::new(),
         };
@@ -198,16 +217,25 @@
             "instance = \"node{index}\"\navailability_zone = \"z\"\nhttp_listen = \"{http_address}\"\n\
              ready_listen = \"{ready_address}\"\nstatus_listen = \"{status_address}\"\npeer_listen = \"{peer_address}\"\n\
              peer_key = \"a key that all peers share\"\nstore = \"{}\"\nleave_timeout_s = {}\n\
-             memory_limit_mb = 1\n\
+             memory_limit_mb = {}\n\
              retry_ratio = 0.2\nretry_allowance = 50\nretry_window_s = 10\n",
             self.store.addresses[index],
-            self.drain_timeout.as_secs_f64(),
+            self.options.drain_timeout.as_secs_f64(),
+            self.options.memory_limit_mb,
         );
         std::fs::write(&settings_path, settings)?;
         let file = settings_path.to_string_lossy().into_owned();
-        let process =
-            process::Process::start("limpetkeel-node", &["--config", &file], &self.directory)
-                .map_err(|e| std::io::Error::other(e.to_string()))?;
+        let args = ["--config", file.as_str()];
+        let process = match self.options.descriptor_limit {
+            Some(limit) => process::Process::start_with_descriptor_limit(
+                "limpetkeel-node",
+                &args,
+                &self.directory,
+                limit,
+            ),
+            None => process::Process::start("limpetkeel-node", &args, &self.directory),
+        };
+        let process = process.map_err(|e| std::io::Error::other(e.to_string()))?;
         Ok(Daemon {
             process,
             http_address,
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -17,12 +17,42 @@
     ///
     /// Returns an error if the log file cannot be opened or the program cannot be started.
     pub fn start(name: &str, args: &[&str], directory: &path::Path) -> fleet::Result<Process> {
+        let mut command = process::Command::new(program_path(name));
+        command.args(args);
+        Process::spawn(command, name, directory)
+    }
+
+    /// Starts a program like [`Process::start`] with a limit on its open descriptors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log file cannot be opened or the program cannot be started.
+    pub fn start_with_descriptor_limit(
+        name: &str,
+        args: &[&str],
+        directory: &path::Path,
+        limit: u32,
+    ) -> fleet::Result<Process> {
+        let mut command = process::Command::new("sh");
+        command.args([
+            "-c",
+            "ulimit -S -n \"$0\" && exec \"$@\"",
+            &limit.to_string(),
+        ]);
+        command.arg(program_path(name)).args(args);
+        Process::spawn(command, name, directory)
+    }
+
+    fn spawn(
+        mut command: process::Command,
+        name: &str,
+        directory: &path::Path,
+    ) -> fleet::Result<Process> {
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(directory.join(format!("{name}.log")))?;
-        let child = process::Command::new(program_path(name))
-            .args(args)
+        let child = command
             .stdin(process::Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
