Add the memory account and the connection table

The aggregates decide, without a network, which reservation fits, which request bodies are dropped for another one, and which connection is closed for a new one.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -32,6 +32,7 @@
 mod availability_zone;
 mod backlog_index;
 mod budget;
+mod connection_table;
 mod crash_cause;
 mod crash_screening;
 mod drain_schedule;
@@ -47,6 +48,7 @@
 mod local_balancer;
 mod lock;
 mod member;
+mod memory_account;
 mod name;
 mod plan;
 mod planner;
@@ -75,6 +77,10 @@
 
 pub use availability_zone::{Reachability, ZoneReachability};
 pub use budget::{BodyBudget, RetryBudget};
+pub use connection_table::{
+    AdmittedConnection, ClosedConnection, ConnectionId, ConnectionPhase, ConnectionTable,
+    ConnectionsExhausted,
+};
 pub use crash_cause::{CrashCause, Quarantine, QuarantineUpdate};
 pub use crash_screening::{
     CauseDecision, CauseDecisionKind, Crash, CrashScreening, MAX_CAUSES_PER_REQUEST,
@@ -101,6 +107,7 @@
 pub use local_balancer::{LocalBalancer, Policy};
 pub use lock::{LockLevel, OrderedGuard, OrderedMutex};
 pub use member::{Contact, DEAD_AFTER, Digest, GOSSIP_ROUND, Heartbeat, ListedMember, Members};
+pub use memory_account::{BodyId, MemoryAccount, MemoryExhausted, MemoryShare, STALLED_AFTER};
 pub use name::{
     AvailabilityZoneName, IdempotencyKey, InstanceName, Kind as NameKind, PoolName, RouteName,
     UpstreamName, WorkspaceName,
--- a/limpetkeel/src/lock.rs
+++ b/limpetkeel/src/lock.rs
@@ -24,6 +24,10 @@
     Budgets = 6,
     /// The upstreams that accept no requests from this instance.
     UpstreamAvailability = 7,
+    /// The connections of callers.
+    Connections = 8,
+    /// The memory account. It is the last, so that a reservation can be released anywhere.
+    Memory = 9,
 }
 
 thread_local! {
--- /dev/null
+++ b/limpetkeel/tests/connection_table.rs
@@ -0,0 +1,93 @@
+//! The connection table: how many connections are open, and which one is closed for another.
+
+use limpetkeel::{
+    ClosedConnection, ConnectionId, ConnectionPhase, ConnectionTable, ConnectionsExhausted,
+    STALLED_AFTER, Timestamp,
+};
+
+const START: Timestamp = Timestamp(1_000);
+
+/// A full table with three connections that were admitted one millisecond after another.
+fn full_table() -> (ConnectionTable, [ConnectionId; 3]) {
+    let mut table = ConnectionTable::new(8);
+    assert_eq!(table.limit(), 3);
+    let ids = [0, 1, 2].map(|offset| {
+        let admitted = table.admit(Timestamp(START.0 + offset)).expect("room");
+        assert_eq!(admitted.closed, None);
+        admitted.id
+    });
+    (table, ids)
+}
+
+#[test]
+fn most_descriptors_are_left_to_upstreams_and_peers() {
+    assert_eq!(ConnectionTable::new(2_870).limit(), 1_148);
+}
+
+#[test]
+fn the_connection_that_was_silent_for_longest_is_closed() {
+    let (mut table, [first, ..]) = full_table();
+    let admitted = table.admit(START).expect("room");
+    let phase = ConnectionPhase::Idle;
+    assert_eq!(admitted.closed, Some(ClosedConnection { id: first, phase }));
+    assert_eq!(table.phase(first), None);
+    assert_eq!(table.len(), 3);
+}
+
+/// Guards against a crowd of new connections that takes the place of callers who reuse theirs.
+#[test]
+fn connections_without_a_response_are_closed_before_reused_ones() {
+    let (mut table, [first, second, third]) = full_table();
+    table.end_response(first, START);
+    table.end_response(second, START);
+    assert!(table.receive(third, Timestamp(5_000)));
+    let closed = table.close_one(Timestamp(5_000)).expect("connection");
+    assert_eq!((closed.id, closed.phase), (third, ConnectionPhase::Head));
+}
+
+#[test]
+fn a_connection_that_is_being_served_is_not_closed() {
+    let (mut table, ids) = full_table();
+    for id in ids {
+        table.begin_response(id, START);
+    }
+    let later = Timestamp(1_000_000);
+    assert_eq!(table.admit(later), Err(ConnectionsExhausted));
+    table.end_response(ids[1], later);
+    let admitted = table.admit(later).expect("room");
+    assert_eq!(admitted.closed.map(|closed| closed.id), Some(ids[1]));
+}
+
+#[test]
+fn a_body_is_closed_only_if_it_stalls() {
+    let (mut table, ids) = full_table();
+    for id in ids {
+        table.begin_body(id, START);
+    }
+    let stalled_at = START.after(STALLED_AFTER);
+    assert!(!table.receive(ids[1], Timestamp(START.0 + 500)));
+    table.begin_response(ids[2], START);
+    let closed = table.close_one(stalled_at).expect("connection");
+    assert_eq!((closed.id, closed.phase), (ids[0], ConnectionPhase::Body));
+    assert_eq!(table.close_one(stalled_at), Err(ConnectionsExhausted));
+}
+
+/// Guards against heads that are kept open by a byte now and then.
+#[test]
+fn the_bytes_of_a_head_do_not_renew_its_time() {
+    let (mut table, ids) = full_table();
+    assert!(table.receive(ids[0], START));
+    assert!(!table.receive(ids[0], Timestamp(9_000)));
+    let closed = table.close_one(Timestamp(9_000)).expect("connection");
+    assert_eq!(closed.id, ids[0]);
+}
+
+#[test]
+fn a_removed_connection_makes_room() {
+    let (mut table, ids) = full_table();
+    table.remove(ids[2]);
+    let admitted = table.admit(START).expect("room");
+    assert_eq!(admitted.closed, None);
+    table.begin_body(ids[2], START);
+    assert_eq!(table.phase(ids[2]), None);
+}
