Count responses of upstreams in the memory account

Complete bodies, partial events and events for slow callers reserve what exceeds 16 KiB. A response that finds no memory ends its attempt, which does not count against the upstream.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -131,7 +131,9 @@
 };
 pub use request_limit::{AnnouncedLimit, AnnouncedLimits, LimitNotice, RequestRate};
 pub use request_size::{LONG_PROMPT, RequestSize, TokenEstimator};
-pub use response_limit::{BodyAllowance, HeadAllowance, MAX_EVENT, MAX_HEAD, ResponseLimit};
+pub use response_limit::{
+    BodyAllowance, HeadAllowance, MAX_EVENT, MAX_HEAD, MAX_UNRESERVED, ResponseLimit,
+};
 pub use retry_window::{RetryLimit, RetryWindow};
 pub use revision::{Era, Revision};
 pub use route::{Declaration as RouteDeclaration, Kind as RouteKind, Route};
--- a/limpetkeel/src/response_limit.rs
+++ b/limpetkeel/src/response_limit.rs
@@ -21,6 +21,10 @@
 /// Maximum size of an event of a stream.
 pub const MAX_EVENT: unit::Bytes = unit::Bytes(1024 * 1024);
 
+/// Maximum size of a part of a response that is held without a reservation in the memory account, so
+/// that ordinary responses are served while the account is exhausted.
+pub const MAX_UNRESERVED: unit::Bytes = unit::Bytes(16 * 1024);
+
 /// A limit on a response. An upstream that exceeds it is at fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseLimit {
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -59,6 +59,8 @@
     Broken,
     /// The response exceeds a limit.
     LimitExceeded(ResponseLimit),
+    /// The instance has no memory for the response.
+    NoMemory,
     /// The response did not arrive in time.
     TimedOut,
     /// The response is for another request, unsigned, or encoded, which callers do not accept.
@@ -74,6 +76,7 @@
             Cause::Crashed => "crashed",
             Cause::Broken => "broken",
             Cause::LimitExceeded(_) => "over_limit",
+            Cause::NoMemory => "no_memory",
             Cause::TimedOut => "silent",
             Cause::Mismatched => "not_own",
             Cause::NotEvents => "not_events",
@@ -204,7 +207,7 @@
             return Err(Failure::Failed(Cause::NotEvents));
         }
         let head = shared.codec.encode_response(&response.head);
-        let mut stream = stream::OpenStream::new(response, head);
+        let mut stream = stream::OpenStream::new(&shared.memory, response, head);
         let context = stream::StreamContext {
             plan_guard: context.plan_guard,
             standby: context.standby,
@@ -223,10 +226,12 @@
             Err(stream::Failure::LimitExceeded(limit)) => {
                 Err(Failure::Failed(Cause::LimitExceeded(limit)))
             }
+            Err(stream::Failure::NoMemory) => Err(Failure::Failed(Cause::NoMemory)),
             Err(stream::Failure::CallerDisconnected) => Err(Failure::CallerDisconnected),
         };
     }
-    let collecting = response_body::receive(&mut response, BodyAllowance::new(success));
+    let allowance = BodyAllowance::new(success);
+    let collecting = response_body::receive(&shared.memory, &mut response, allowance);
     let collected = tokio::time::timeout_at(response_deadline, collecting).await;
     let body = collected
         .map_err(|_| Failure::Failed(Cause::TimedOut))?
@@ -235,6 +240,7 @@
             response_body::Error::LimitExceeded(limit) => {
                 Failure::Failed(Cause::LimitExceeded(limit))
             }
+            response_body::Error::NoMemory => Failure::Failed(Cause::NoMemory),
         })?;
     let complete = response_writer::CompleteResponse {
         head: shared.codec.encode_response(&response.head),
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -276,6 +276,9 @@
             plan_guard.report().await;
             return AttemptOutcome::Retry(sent.into_failed());
         }
+        Err(attempt::Failure::Failed(cause @ attempt::Cause::NoMemory)) => {
+            (lead, AttemptResult::Inconclusive, cause.code())
+        }
         Err(attempt::Failure::Failed(cause)) => {
             if let attempt::Cause::LimitExceeded(limit) = cause {
                 record_exceeded_limit(shared, request, &lead, limit);
--- a/limpetkeeld/src/relay/event_queue.rs
+++ b/limpetkeeld/src/relay/event_queue.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 use hyper::body;
+use limpetkeel::{MemoryExhausted, MemoryShare};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
-use crate::relay::body::StreamBroken;
+use crate::relay::{body::StreamBroken, memory, response_memory};
 
 /// Maximum number of queued events.
 const MAX_EVENTS: usize = 16;
@@ -16,14 +17,20 @@
 /// Maximum size of the queued events, in bytes. A larger event is queued alone.
 const MAX_BYTES: u32 = 64 * 1024;
 
-/// The receiver was dropped, since the caller disconnected.
+/// The reason why an event was not queued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Closed;
+pub enum Error {
+    /// The receiver was dropped, since the caller disconnected.
+    Closed,
+    /// The instance has no memory for the event.
+    NoMemory,
+}
 
 /// An event that takes up space in its queue until it has been written to the caller's connection.
 struct QueuedEvent {
     bytes: Bytes,
     _space: OwnedSemaphorePermit,
+    _memory: response_memory::ResponseMemory,
 }
 
 impl AsRef<[u8]> for QueuedEvent {
@@ -41,16 +48,18 @@
 }
 
 /// Creates a queue.
-pub fn channel() -> (Sender, Receiver) {
+pub fn channel(memory: &memory::Memory) -> (Sender, Receiver) {
     let (tx, rx) = mpsc::channel(MAX_EVENTS);
-    let space = sync::Arc::new(Semaphore::new(MAX_BYTES as usize));
-    (
-        Sender { tx, space },
-        Receiver {
-            rx,
-            has_ended: false,
-        },
-    )
+    let sender = Sender {
+        tx,
+        space: sync::Arc::new(Semaphore::new(MAX_BYTES as usize)),
+        memory: memory.clone(),
+    };
+    let receiver = Receiver {
+        rx,
+        has_ended: false,
+    };
+    (sender, receiver)
 }
 
 /// The sending side of a queue. Dropping it breaks off the stream after the queued events, unless
@@ -59,6 +68,7 @@
 pub struct Sender {
     tx: mpsc::Sender<Message>,
     space: sync::Arc<Semaphore>,
+    memory: memory::Memory,
 }
 
 impl Sender {
@@ -66,20 +76,25 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the caller disconnected.
-    pub async fn send(&self, event: Bytes) -> Result<(), Closed> {
+    /// Returns an error if the caller disconnected or there is no memory for a large event.
+    pub async fn send(&self, event: Bytes) -> Result<(), Error> {
+        let mut memory =
+            response_memory::ResponseMemory::new(&self.memory, MemoryShare::QueuedEvents);
+        let held = memory.resize(event.len());
+        held.map_err(|MemoryExhausted| Error::NoMemory)?;
         let len = u32::try_from(event.len()).unwrap_or(MAX_BYTES);
         let waiting = self.space.clone().acquire_many_owned(len.min(MAX_BYTES));
         let space = tokio::select! {
-            space = waiting => space.map_err(|_| Closed)?,
-            () = self.tx.closed() => return Err(Closed),
+            space = waiting => space.map_err(|_| Error::Closed)?,
+            () = self.tx.closed() => return Err(Error::Closed),
         };
         let event = Bytes::from_owner(QueuedEvent {
             bytes: event,
             _space: space,
+            _memory: memory,
         });
         let sent = self.tx.send(Message::Event(event)).await;
-        sent.map_err(|_| Closed)
+        sent.map_err(|_| Error::Closed)
     }
 
     /// Ends the stream as a complete one.
--- a/limpetkeeld/src/relay/response_writer.rs
+++ b/limpetkeeld/src/relay/response_writer.rs
@@ -4,7 +4,7 @@
 use limpetkeel::{Millis, RelayedRequest, Sent, Timestamp};
 use tokio::sync::oneshot;
 
-use crate::relay::{caller_request, event_queue, events, port, shared};
+use crate::relay::{caller_request, event_queue, events, memory, port, shared};
 
 /// A complete (non-streaming) response.
 #[derive(Debug)]
@@ -35,10 +35,6 @@
     longest_gap: Millis,
 }
 
-/// The caller closed its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallerDisconnected;
-
 impl ResponseWriter {
     /// Creates a writer that sends its response through `response_tx`.
     pub fn new(response_tx: oneshot::Sender<Response>) -> ResponseWriter {
@@ -101,7 +97,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the caller disconnected.
+    /// Returns an error if the caller disconnected or there is no memory for a large event.
     pub async fn forward(
         &mut self,
         shared: &shared::Shared,
@@ -109,28 +105,30 @@
         relayed: &RelayedRequest<Sent>,
         head: &http::response::Parts,
         event: events::Event,
-    ) -> Result<(), CallerDisconnected> {
+    ) -> Result<(), event_queue::Error> {
         if !self.is_streaming() {
             observe_first_byte(shared, request, relayed);
         }
         self.record_event(shared.clock.now());
-        self.send(head, event.bytes).await
+        self.send(&shared.memory, head, event.bytes).await
     }
 
     async fn send(
         &mut self,
+        memory: &memory::Memory,
         head: &http::response::Parts,
         bytes: Bytes,
-    ) -> Result<(), CallerDisconnected> {
+    ) -> Result<(), event_queue::Error> {
         if let Some(response_tx) = self.response_tx.take() {
-            let (tx, rx) = event_queue::channel();
+            let (tx, rx) = event_queue::channel(memory);
             let stream = Response::Stream(head.clone(), rx);
-            response_tx.send(stream).map_err(|_| CallerDisconnected)?;
+            response_tx
+                .send(stream)
+                .map_err(|_| event_queue::Error::Closed)?;
             self.events_tx = Some(tx);
         }
-        let events = self.events_tx.as_ref().ok_or(CallerDisconnected)?;
-        let sent = events.send(bytes).await;
-        sent.map_err(|event_queue::Closed| CallerDisconnected)
+        let events = self.events_tx.as_ref().ok_or(event_queue::Error::Closed)?;
+        events.send(bytes).await
     }
 }
 
--- a/limpetkeeld/src/relay/settings.rs
+++ b/limpetkeeld/src/relay/settings.rs
@@ -102,6 +102,8 @@
     pub drain_timeout: Millis,
     /// The maximum total size of buffered request bodies.
     pub body_budget: Bytes,
+    /// The memory that the process may take.
+    pub memory_limit: Bytes,
     /// The limit on retries over all instances.
     pub retry_limit: RetryLimit,
     /// The log filter.
@@ -189,6 +191,7 @@
             &self.retry_window_s,
             decimal_in_range(RETRY_WINDOW_BOUNDS_S),
         );
+        let memory_limit = Bytes((memory_mb? * BYTES_PER_MB) as u64);
         Some(Settings {
             instance: instance?,
             availability_zone: availability_zone?,
@@ -202,7 +205,8 @@
             processor: Millicores((processor_share? * MILLICORES_PER_CORE).round() as u64),
             workers: workers?,
             drain_timeout: millis_from_seconds(drain_timeout?),
-            body_budget: Bytes((memory_mb? * BYTES_PER_MB) as u64).percent(BODY_MEMORY_PERCENT),
+            body_budget: memory_limit.percent(BODY_MEMORY_PERCENT),
+            memory_limit,
             retry_limit: RetryLimit {
                 ratio: ratio?,
                 allowance: allowance?,
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock, local_state, metrics, peer,
-    relay::{exchange, jobs, port, settings},
+    relay::{exchange, jobs, memory, port, settings},
 };
 
 /// The routing table, upstream registry and quarantine list, and the state of the store connection
@@ -131,8 +131,10 @@
     retry_limit: OrderedMutex<RetryLimit>,
     /// Lock order 6 (`LockLevel::Budgets`).
     pub retry_windows: OrderedMutex<collections::BTreeMap<PoolName, RetryWindow>>,
-    /// Lock order 7 (`LockLevel::UpstreamAvailability`), the last.
+    /// Lock order 7 (`LockLevel::UpstreamAvailability`).
     pub availability: OrderedMutex<UpstreamAvailability>,
+    /// Lock order 9 (`LockLevel::Memory`), the last.
+    pub memory: memory::Memory,
 }
 
 impl Shared {
@@ -185,6 +187,7 @@
                 LockLevel::UpstreamAvailability,
                 UpstreamAvailability::default(),
             ),
+            memory: memory::Memory::new(settings.memory_limit),
             settings,
         }
     }
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -2,11 +2,11 @@
 
 use std::time;
 
-use limpetkeel::{Millis, Plan, RelayedRequest, ResponseLimit, Sent};
+use limpetkeel::{MemoryExhausted, Millis, Plan, RelayedRequest, ResponseLimit, Sent};
 
 use crate::relay::{
-    caller_request, drain, events, planning, reservations, response_writer, retry_budget, shared,
-    upstream,
+    caller_request, drain, event_queue, events, memory, planning, reservations, response_writer,
+    retry_budget, shared, upstream,
 };
 
 /// Timeout for the next event, as a multiple of the route's maximum gap. Somewhat more than half of
@@ -36,10 +36,21 @@
     NotEvents,
     /// An event exceeds its limit, or the stream contains bytes that are not an event.
     LimitExceeded(ResponseLimit),
+    /// The instance has no memory for an event.
+    NoMemory,
     /// The caller disconnected.
     CallerDisconnected,
 }
 
+impl Failure {
+    fn from_queue_error(e: event_queue::Error) -> Failure {
+        match e {
+            event_queue::Error::Closed => Failure::CallerDisconnected,
+            event_queue::Error::NoMemory => Failure::NoMemory,
+        }
+    }
+}
+
 /// An attempt whose stream stalled. It is kept until another attempt delivers an event; if none
 /// does, its stream is continued.
 pub struct Standby {
@@ -78,11 +89,15 @@
 
 impl OpenStream {
     /// Creates a stream from a response. `head` is the response head to send to the caller.
-    pub fn new(response: upstream::Response, head: http::response::Parts) -> OpenStream {
+    pub fn new(
+        memory: &memory::Memory,
+        response: upstream::Response,
+        head: http::response::Parts,
+    ) -> OpenStream {
         OpenStream {
             response,
             head,
-            buffer: events::EventBuffer::default(),
+            buffer: events::EventBuffer::new(memory),
             event_received: false,
         }
     }
@@ -122,11 +137,7 @@
                 if event.id.is_none_or(|id| relayed.record_delivered(id)) {
                     *context.standby = None;
                     let forwarded = writer.forward(shared, request, relayed, &self.head, event);
-                    forwarded
-                        .await
-                        .map_err(|response_writer::CallerDisconnected| {
-                            Failure::CallerDisconnected
-                        })?;
+                    forwarded.await.map_err(Failure::from_queue_error)?;
                 }
             }
             let received = tokio::time::timeout_at(deadline, self.response.next()).await;
@@ -140,7 +151,10 @@
                 continue;
             };
             match received.map_err(|_| Failure::Broken)? {
-                Some(bytes) => self.buffer.push(&bytes),
+                Some(bytes) => {
+                    let pushed = self.buffer.push(&bytes);
+                    pushed.map_err(|MemoryExhausted| Failure::NoMemory)?;
+                }
                 None if writer.is_streaming() && self.is_complete() => return Ok(()),
                 None => return Err(Failure::Broken),
             }
