--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -43,7 +43,7 @@
     /// The attempt failed and the request may have run.
     Failed(Cause),
     /// The stream stalled and is still open.
-    Stalled(stream::OpenStream),
+    Stalled(Box<stream::OpenStream>),
     /// The upstream returned an error response.
     ErrorResponse(response_writer::CompleteResponse),
     /// The caller disconnected.
@@ -217,7 +217,7 @@
             .await;
         return match result {
             Ok(()) => Ok(None),
-            Err(stream::Failure::Stalled) => Err(Failure::Stalled(stream)),
+            Err(stream::Failure::Stalled) => Err(Failure::Stalled(Box::new(stream))),
             Err(stream::Failure::Broken) if !stream.has_begun() => {
                 Err(Failure::Failed(Cause::Crashed))
             }
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -55,7 +55,7 @@
 /// does, its stream is continued.
 pub struct Standby {
     /// The stalled stream.
-    pub stream: OpenStream,
+    pub stream: Box<OpenStream>,
     /// The plan of the attempt.
     pub plan: Plan,
     /// The guard of the plan.
--- a/limpetkeeld/tests/peer.rs
+++ b/limpetkeeld/tests/peer.rs
@@ -148,3 +148,30 @@
     let counted = tokio::time::timeout(TIMEOUT, counted).await;
     assert_eq!((counted, errors.get()), (Ok(()), 1));
 }
+
+/// Guards against a client without the key that fills the memory with a first message without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_message_before_authentication_closes_the_connection() {
+    let (address, metrics) = listen().await;
+    let stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connection");
+    let (sender, connection) = h2::client::handshake(stream).await.expect("handshake");
+    tokio::spawn(async move { connection.await.ok() });
+    let mut sender = sender.ready().await.expect("ready");
+    let req = http::Request::post("http://peer/hello")
+        .body(())
+        .expect("request");
+    let (response, mut body) = sender.send_request(req, false).expect("stream");
+    let part = vec![0_u8; 8 * 1024];
+    body.send_data(part.into(), false).expect("body");
+    assert!(response.await.is_err());
+    let errors = metrics.peer_errors.with_label_values(&["malformed"]);
+    let counted = async {
+        while errors.get() == 0 {
+            tokio::time::sleep(time::Duration::from_millis(1)).await;
+        }
+    };
+    let counted = tokio::time::timeout(TIMEOUT, counted).await;
+    assert_eq!((counted, errors.get()), (Ok(()), 1));
+}
