Bound the memory and the connections of callers

Callers that the operators do not control could make an instance hold more than the memory of its machine: nothing counted the buffers of heads and connections, stalled bodies kept their memory until they timed out, and idle connections took all descriptors.

Connections and bodies now reserve memory in the account before they take it. Stalled bodies are dropped for moving ones, connections that wait for their callers are closed for new ones, and a body over the limit is refused before it is read. A refusal reaches a caller that is still sending. A head that is incomplete after `header_timeout_ms` and a body that stalls get 408.

--- a/limpetkeeld/src/lib.rs
+++ b/limpetkeeld/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peer_handler;
 pub mod placement;
 pub mod platform;
+pub mod process_limit;
 pub mod relay;
 pub mod request_lifecycle;
 pub mod run_once;
--- a/limpetkeeld/src/listener.rs
+++ b/limpetkeeld/src/listener.rs
@@ -30,10 +30,34 @@
 ///
 /// Returns an error if the address cannot be bound.
 pub fn listen(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
-    let socket = match address {
-        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
-        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
-    };
+    listen_on(new_socket(address)?, address)
+}
+
+/// Listens like [`listen`] for connections whose receive buffers have a fixed size, in bytes.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub fn listen_with_receive_buffer(
+    address: net::SocketAddr,
+    buffer_len: u32,
+) -> io::Result<tokio::net::TcpListener> {
+    let socket = new_socket(address)?;
+    socket.set_recv_buffer_size(buffer_len)?;
+    listen_on(socket, address)
+}
+
+fn new_socket(address: net::SocketAddr) -> io::Result<tokio::net::TcpSocket> {
+    match address {
+        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4(),
+        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6(),
+    }
+}
+
+fn listen_on(
+    socket: tokio::net::TcpSocket,
+    address: net::SocketAddr,
+) -> io::Result<tokio::net::TcpListener> {
     socket.set_reuseaddr(true)?;
     socket.set_nodelay(true)?;
     socket.bind(address)?;
--- a/limpetkeeld/src/metric_registrar.rs
+++ b/limpetkeeld/src/metric_registrar.rs
@@ -35,6 +35,18 @@
         self.register(prometheus::IntCounter::new(name, help))
     }
 
+    pub(crate) fn gauge_vec(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> prometheus::Result<prometheus::IntGaugeVec> {
+        self.register(prometheus::IntGaugeVec::new(
+            prometheus::Opts::new(name, help),
+            labels,
+        ))
+    }
+
     pub(crate) fn gauge(&self, name: &str, help: &str) -> prometheus::Result<prometheus::IntGauge> {
         self.register(prometheus::IntGauge::new(name, help))
     }
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -42,6 +42,14 @@
     pub capacity_waits: prometheus::IntCounter,
     /// Changes of the request limits that upstreams announce.
     pub limit_changes: prometheus::IntCounter,
+    /// Bytes that are reserved in the memory account, by share.
+    pub memory_bytes: prometheus::IntGaugeVec,
+    /// Connections of callers.
+    pub connections: prometheus::IntGauge,
+    /// Connections of callers that were closed to make room, refused or too slow, by reason.
+    pub closed_connections: prometheus::IntCounterVec,
+    /// Request bodies that were dropped to make room for others.
+    pub dropped_bodies: prometheus::IntCounter,
     /// Log lines dropped because the log queue was full.
     pub dropped_log_lines: prometheus::IntGauge,
 }
@@ -122,6 +130,24 @@
                 "Upstreams that said that they accept no requests, by reason.",
                 &["reason"],
             )?,
+            memory_bytes: registrar.gauge_vec(
+                "limpetkeel_relay_memory_bytes",
+                "Bytes reserved in the memory account, by share.",
+                &["share"],
+            )?,
+            connections: registrar.gauge(
+                "limpetkeel_relay_connections",
+                "Open connections of callers.",
+            )?,
+            closed_connections: registrar.counter_vec(
+                "limpetkeel_relay_closed_connections_total",
+                "Connections of callers that were closed or refused for lack of room or time.",
+                &["reason"],
+            )?,
+            dropped_bodies: registrar.counter(
+                "limpetkeel_relay_dropped_bodies_total",
+                "Request bodies that were dropped to make room for others.",
+            )?,
             dropped_log_lines: registrar.gauge(
                 "limpetkeel_log_lines_left_out",
                 "Log lines left out since the start because their queue was full.",
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays requests to any upstream service without interpreting their bodies.
 //!
-//! [`front`] accepts a request and matches it to a route, and [`drive`] carries it to its end. For
+//! [`front`] accepts a connection, which [`caller_connection`] adds to the connection table and
+//! [`caller_stream`] reads and writes, and matches a request to a route. [`caller_body`] receives its
+//! body into memory that is reserved in [`memory`], and [`drive`] carries the request to its end. For
 //! each attempt, [`preparation`] obtains a plan through [`planning`] from the pool's planner, which
 //! is the [`local_planner`] of one instance, connects to the lead, and reserves memory on the helper
 //! engines through [`reservations`]. [`attempt`] sends the request over one connection of
@@ -18,7 +20,10 @@
 pub mod attempt;
 pub mod availability;
 pub mod body;
+pub mod caller_body;
+pub mod caller_connection;
 pub mod caller_request;
+pub mod caller_stream;
 pub mod daemon;
 pub mod drain;
 pub mod drive;
@@ -27,6 +32,7 @@
 pub mod front;
 pub mod jobs;
 pub mod local_planner;
+pub mod memory;
 pub mod peer_fallback;
 pub mod peer_handler;
 pub mod planning;
--- a/limpetkeeld/src/relay/caller_request.rs
+++ b/limpetkeeld/src/relay/caller_request.rs
@@ -1,12 +1,9 @@
-//! Caller requests and their body memory.
+//! Caller requests.
 
-use std::sync;
-
-use bytes::Bytes;
 use limpetkeel::{Admission, CrashCause, Millis, RequestId};
 use xxhash_rust::xxh3;
 
-use crate::relay::{port, shared};
+use crate::relay::{caller_body, port};
 
 /// A caller's request, kept until it completes.
 pub struct CallerRequest {
@@ -15,7 +12,7 @@
     /// The request head as received.
     pub parts: http::request::Parts,
     /// The request body.
-    pub body: BufferedBody,
+    pub body: caller_body::BufferedBody,
     /// The matched route and workspace.
     pub admission: Admission,
     /// The version of the routing table that admitted the request.
@@ -63,43 +60,6 @@
     CrashCause::Request(hasher.digest())
 }
 
-/// A request body whose size counts against the instance's body budget until it is dropped.
-pub struct BufferedBody {
-    shared: sync::Arc<shared::Shared>,
-    reserved: limpetkeel::Bytes,
-    /// The body; empty until it has been received completely.
-    pub bytes: Bytes,
-}
-
-impl BufferedBody {
-    /// Creates an empty body.
-    pub fn new(shared: &sync::Arc<shared::Shared>) -> BufferedBody {
-        BufferedBody {
-            shared: shared.clone(),
-            reserved: limpetkeel::Bytes::ZERO,
-            bytes: Bytes::new(),
-        }
-    }
-
-    /// Reserves `len` bytes of the body budget. Call this before buffering them.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the body budget is exhausted.
-    pub fn reserve(&mut self, len: usize) -> limpetkeel::Result<()> {
-        let len = limpetkeel::Bytes(len as u64);
-        self.shared.body_budget.lock().reserve(len)?;
-        self.reserved += len;
-        Ok(())
-    }
-}
-
-impl Drop for BufferedBody {
-    fn drop(&mut self) {
-        self.shared.body_budget.lock().release(self.reserved);
-    }
-}
-
 /// Multiplies a duration by a factor.
 pub fn scale(span: Millis, factor: f64) -> Millis {
     Millis((span.0 as f64 * factor) as u64)
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -1,11 +1,12 @@
 //! Starts a relay instance and runs it until it has drained.
 
-use std::{convert, fmt, io, net, path, sync};
+use std::{convert, fmt, io, net, path, sync, time};
 
 use bytes::Bytes;
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
-use tokio::signal::unix;
+use limpetkeel::MemoryShare;
+use tokio::{signal::unix, sync::Semaphore};
 use tracing_appender::non_blocking;
 
 use crate::{
@@ -98,6 +99,8 @@
         availability_zone = %shared.settings.availability_zone,
         http = %shared.settings.http_listen,
         peers = %shared.settings.peer_listen,
+        memory_limit = shared.settings.memory_limit.0,
+        connection_limit = shared.connections.lock().table.limit(),
     );
     tokio::spawn(reload::run(shared.clone(), file, hangup));
     let front_task = tokio::spawn(front::listen(shared.clone()));
@@ -118,33 +121,59 @@
     Metrics(non_blocking::ErrorCounter),
 }
 
+/// The most connections of a status page. Probes and scrapes need a few.
+const MAX_STATUS_CONNECTIONS: usize = 32;
+
+/// The time after which an idle connection of a status page is closed.
+const STATUS_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+
 /// Serves a status page on a listener.
 async fn serve_status(
     shared: sync::Arc<shared::Shared>,
     listener: tokio::net::TcpListener,
     page: StatusPage,
 ) {
+    let permits = sync::Arc::new(Semaphore::new(MAX_STATUS_CONNECTIONS));
     loop {
+        // The semaphore is never closed.
+        let permit = permits.clone().acquire_owned().await;
         let stream = listener::accept(&listener).await;
         let (shared, page) = (shared.clone(), page.clone());
         tokio::spawn(async move {
+            let _permit = permit;
             let handler = service::service_fn(move |_: http::Request<Incoming>| {
                 let res = status_response(&shared, &page);
                 async move { Ok::<_, convert::Infallible>(res) }
             });
             let _ = http1::Builder::new()
+                .timer(rt::TokioTimer::new())
+                .header_read_timeout(STATUS_IDLE_TIMEOUT)
                 .serve_connection(rt::TokioIo::new(stream), handler)
                 .await;
         });
     }
 }
 
+/// Sets the gauges of memory and connections.
+fn update_gauges(shared: &shared::Shared) {
+    let connections = shared.connections.lock().table.len();
+    shared.metrics.relay.connections.set(connections as i64);
+    for share in MemoryShare::all() {
+        let reserved = shared.memory.reserved(share);
+        let gauge = &shared.metrics.relay.memory_bytes;
+        gauge
+            .with_label_values(&[share.name()])
+            .set(reserved.0 as i64);
+    }
+}
+
 /// Returns the current response of a status page.
 fn status_response(shared: &shared::Shared, page: &StatusPage) -> http::Response<body::Body> {
     let (code, text) = match page {
         StatusPage::Metrics(dropped_lines) => {
             let dropped_lines = dropped_lines.dropped_lines() as i64;
             shared.metrics.relay.dropped_log_lines.set(dropped_lines);
+            update_gauges(shared);
             (http::StatusCode::OK, shared.metrics.render())
         }
         StatusPage::Ready => {
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -2,9 +2,12 @@
 
 use std::{convert, io, sync};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt as _;
-use hyper::{body::Incoming, server::conn::http1, service};
+use bytes::Bytes;
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service,
+};
 use hyper_util::rt;
 use limpetkeel::{
     Denial, Millis, RelayedRequest, RelayedRequestInfo, RequestId, RequestLimits, Routed, Timestamp,
@@ -13,7 +16,10 @@
 
 use crate::{
     listener,
-    relay::{body, caller_request, drain, drive, exchange, port, response_writer, shared, task},
+    relay::{
+        body, caller_body, caller_connection, caller_request, caller_stream, drive, exchange, port,
+        response_writer, shared, task,
+    },
 };
 
 /// Request limits that apply until the first routing table arrives.
@@ -28,47 +34,80 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Retry delay sent with a not-run refusal at admission, such as before the first routing table
-/// arrives or when the body budget is exhausted.
+/// arrives or when there is no memory for the body.
 const RETRY_AFTER: Millis = Millis(300);
 
-/// Timeout for receiving a request body.
-const BODY_TIMEOUT: Millis = Millis(10_000);
-
 /// Accepts caller connections until the instance stops listening.
 ///
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
 pub async fn listen(shared: sync::Arc<shared::Shared>) -> io::Result<()> {
-    let listener = listener::listen(shared.settings.http_listen)?;
+    let listener = listener::listen_with_receive_buffer(
+        shared.settings.http_listen,
+        caller_connection::RECEIVE_BUFFER_BYTES as u32,
+    )?;
     loop {
         tokio::select! {
             stream = listener::accept(&listener) => {
-                tokio::spawn(serve_connection(shared.clone(), stream));
+                admit_connection(&shared, stream).await;
             }
             () = shared.closing.cancelled() => return Ok(()),
         }
     }
 }
 
-/// Serves one caller connection, and closes it gracefully once the instance stops listening.
-async fn serve_connection(shared: sync::Arc<shared::Shared>, stream: tokio::net::TcpStream) {
+/// Serves a connection in its own task, or closes it if there is no room.
+async fn admit_connection(shared: &sync::Arc<shared::Shared>, stream: tokio::net::TcpStream) {
     let limits = shared.tables.lock().ingress.limits();
     let limits = limits.unwrap_or(DEFAULT_LIMITS);
+    let buffer_len = buffer_len(limits);
+    match caller_connection::CallerConnection::admit(shared, buffer_len).await {
+        Ok(connection) => {
+            let activity = caller_stream::ConnectionActivity::new(connection);
+            tokio::spawn(serve_connection(
+                shared.clone(),
+                stream,
+                sync::Arc::new(activity),
+                limits,
+            ));
+        }
+        Err(caller_connection::Refused) => {
+            let closed = &shared.metrics.relay.closed_connections;
+            closed.with_label_values(&["refused"]).inc();
+            tracing::info!(event = "connection_closed", reason = "refused");
+        }
+    }
+}
+
+/// Returns the largest size of the read buffer of a connection, in bytes.
+fn buffer_len(limits: RequestLimits) -> usize {
+    (limits.max_head.0 as usize).max(MIN_BUFFER_BYTES)
+}
+
+/// Serves one caller connection, and closes it gracefully once the instance stops listening.
+async fn serve_connection(
+    shared: sync::Arc<shared::Shared>,
+    stream: tokio::net::TcpStream,
+    activity: sync::Arc<caller_stream::ConnectionActivity>,
+    limits: RequestLimits,
+) {
     let exchange = sync::Arc::new(exchange::ConnectionExchange::default());
     let handler = service::service_fn({
-        let shared = shared.clone();
-        move |req| handle(shared.clone(), exchange.clone(), req)
+        let (shared, activity) = (shared.clone(), activity.clone());
+        move |req| handle(shared.clone(), exchange.clone(), activity.clone(), req)
     });
+    let stream = caller_stream::CallerStream::new(stream, activity.clone(), limits.head_timeout);
     let serving = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout).duration())
-        .max_buf_size((limits.max_head.0 as usize).max(MIN_BUFFER_BYTES))
+        .max_buf_size(buffer_len(limits))
         .serve_connection(rt::TokioIo::new(stream), handler);
     tokio::pin!(serving);
     tokio::select! {
         // An error means that the caller disconnected or sent no valid request.
         _ = serving.as_mut() => return,
+        () = activity.connection.closed() => return,
         () = shared.closing.cancelled() => serving.as_mut().graceful_shutdown(),
     }
     let _ = serving.await;
@@ -78,9 +117,11 @@
 async fn handle(
     shared: sync::Arc<shared::Shared>,
     exchange: sync::Arc<exchange::ConnectionExchange>,
+    activity: sync::Arc<caller_stream::ConnectionActivity>,
     req: http::Request<Incoming>,
-) -> Result<http::Response<body::Body>, convert::Infallible> {
+) -> Result<http::Response<caller_stream::TrackedBody>, convert::Infallible> {
     let (parts, incoming) = req.into_parts();
+    activity.begin_body(!incoming.is_end_stream());
     let head = shared.codec.decode_request(&parts);
     let id = head.as_ref().ok().map(|head| head.id.clone());
     let begun = exchange::Exchange {
@@ -88,15 +129,18 @@
         received: shared.clock.now(),
     };
     exchange.begin(&shared, begun);
-    let mut res = match admit(&shared, parts, head, incoming).await {
+    let admitted = admit(&shared, parts, head, incoming, &activity).await;
+    activity.connection.begin_response();
+    let closes = activity.refuses_body();
+    let mut res = match admitted {
         Ok((request, relayed)) => relay_request(&shared, request, relayed).await,
         Err(refusal) => refusal_response(&shared, id.as_deref(), refusal),
     };
-    if shared.membership.lock().local_state.is_draining() {
+    if closes || shared.membership.lock().local_state.is_draining() {
         let close = http::HeaderValue::from_static("close");
         res.headers_mut().insert(http::header::CONNECTION, close);
     }
-    Ok(res)
+    Ok(res.map(|body| caller_stream::TrackedBody::new(body, activity)))
 }
 
 /// Encodes a refusal as a response with an empty body.
@@ -115,6 +159,7 @@
     parts: http::request::Parts,
     head: Result<port::RequestHead, port::HeadError>,
     incoming: Incoming,
+    activity: &caller_stream::ConnectionActivity,
 ) -> Result<(caller_request::CallerRequest, RelayedRequest<Routed>), port::Refusal> {
     let received = shared.clock.now();
     let head = head.map_err(|e| {
@@ -137,19 +182,23 @@
         record_refusal(shared, code, Some(&head.id));
         refusal
     })?;
-    let body = read_body(shared, incoming, limits).await.inspect_err(|_| {
-        record_refusal(shared, "body", Some(&head.id));
+    let timeout = admission.route.timeout();
+    let allowed = head
+        .remaining
+        .map_or(timeout, |remaining| remaining.min(timeout));
+    let deadline = received.after(allowed);
+    let body = caller_body::receive(shared, incoming, limits, deadline).await;
+    let body = body.map_err(|e| {
+        record_refusal(shared, e.code(), Some(&head.id));
+        activity.refuse_body();
+        body_refusal(e)
     })?;
+    activity.end_body();
     let pool = admission.route.pool(rand::random()).cloned();
     let Some(pool) = pool else {
         return Err(port::Refusal::NotRun(RETRY_AFTER));
     };
     let targets_engine = shared.tables.lock().ingress.timing(&pool).is_some();
-    let timeout = admission.route.timeout();
-    let allowed = head
-        .remaining
-        .map_or(timeout, |remaining| remaining.min(timeout));
-    let deadline = received.after(allowed);
     if !takes_request(shared, &head.id, deadline) {
         record_refusal(shared, "draining", Some(&head.id));
         return Err(port::Refusal::NotRun(RETRY_AFTER));
@@ -211,38 +260,15 @@
     tracing::info!(event = "request_denied", request, reason = code, version);
 }
 
-/// Reads a request body, reserving each chunk's bytes in the body budget as it arrives.
-async fn read_body(
-    shared: &sync::Arc<shared::Shared>,
-    mut incoming: Incoming,
-    limits: RequestLimits,
-) -> Result<caller_request::BufferedBody, port::Refusal> {
-    let mut buffered = caller_request::BufferedBody::new(shared);
-    let mut body = BytesMut::new();
-    let receiving = async {
-        while let Some(frame) = incoming.frame().await {
-            let frame = frame.map_err(|_| port::Refusal::NotRun(RETRY_AFTER))?;
-            let Ok(chunk) = frame.into_data() else {
-                continue;
-            };
-            if (body.len() + chunk.len()) as u64 > limits.max_body.0 {
-                return Err(port::Refusal::BodyTooLarge);
-            }
-            let reserved = buffered.reserve(chunk.len());
-            reserved.map_err(|_| port::Refusal::NotRun(RETRY_AFTER))?;
-            body.extend_from_slice(&chunk);
-        }
-        Ok(())
-    };
-    let deadline = shared.clock.now().after(BODY_TIMEOUT);
-    tokio::select! {
-        received = receiving => received?,
-        _ = drain::deadline_passed(shared, deadline) => {
-            return Err(port::Refusal::NotRun(RETRY_AFTER));
-        }
+/// Returns the refusal of a request whose body was not received.
+fn body_refusal(error: caller_body::Error) -> port::Refusal {
+    match error {
+        caller_body::Error::TooLarge => port::Refusal::BodyTooLarge,
+        caller_body::Error::TooSlow => port::Refusal::TooSlow,
+        caller_body::Error::NoMemory
+        | caller_body::Error::Draining
+        | caller_body::Error::Broken => port::Refusal::NotRun(RETRY_AFTER),
     }
-    buffered.bytes = body.freeze();
-    Ok(buffered)
 }
 
 /// Drives a request in its own task, which is aborted when the caller disconnects.
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -113,6 +113,8 @@
     InvalidHead,
     /// The body is too large.
     BodyTooLarge,
+    /// The head or the body did not arrive in time. The request has not run.
+    TooSlow,
     /// No route matches.
     UnknownRoute,
     /// The API key is missing or unknown.
--- a/limpetkeeld/src/relay/settings.rs
+++ b/limpetkeeld/src/relay/settings.rs
@@ -4,8 +4,11 @@
 
 use limpetkeel::{AvailabilityZoneName, Bytes, InstanceName, Millicores, Millis, RetryLimit};
 
-use crate::settings::{
-    Error, SettingsValidator, decimal_in_range, default_log, parse_peer_key, parse_settings,
+use crate::{
+    process_limit,
+    settings::{
+        Error, SettingsValidator, decimal_in_range, default_log, parse_peer_key, parse_settings,
+    },
 };
 
 /// The settings as written in the file.
@@ -30,6 +33,8 @@
     leave_timeout_s: toml::Spanned<f64>,
     #[serde(default = "default_memory_limit")]
     memory_limit_mb: toml::Spanned<f64>,
+    #[serde(default = "default_descriptor_limit")]
+    descriptor_limit: toml::Spanned<f64>,
     #[serde(default = "default_retry_ratio")]
     retry_ratio: toml::Spanned<f64>,
     #[serde(default = "default_retry_allowance")]
@@ -60,6 +65,11 @@
     toml::Spanned::new(0..0, 112.0)
 }
 
+/// The limit on open descriptors that the process was started with. A file always has one.
+fn default_descriptor_limit() -> toml::Spanned<f64> {
+    toml::Spanned::new(0..0, process_limit::open_descriptors() as f64)
+}
+
 fn default_retry_ratio() -> toml::Spanned<f64> {
     toml::Spanned::new(0..0, 0.1)
 }
@@ -100,8 +110,10 @@
     pub workers: usize,
     /// The maximum time to drain. The instance stops after it, even with requests in progress.
     pub drain_timeout: Millis,
-    /// The maximum total size of buffered request bodies.
-    pub body_budget: Bytes,
+    /// The memory that the process may take.
+    pub memory_limit: Bytes,
+    /// The number of descriptors that the process may open.
+    pub descriptor_limit: usize,
     /// The limit on retries over all instances.
     pub retry_limit: RetryLimit,
     /// The log filter.
@@ -135,9 +147,8 @@
 /// Bytes per megabyte.
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
-/// Share of the memory limit available to request bodies, in percent. The rest is for tables,
-/// connections and responses.
-const BODY_MEMORY_PERCENT: u8 = 50;
+/// Valid range of `descriptor_limit`. An instance with less could not hold its own connections.
+const DESCRIPTOR_LIMIT_BOUNDS: (u64, u64) = (64, 1 << 20);
 
 /// Valid range of `retry_allowance`.
 const RETRY_ALLOWANCE_BOUNDS: (u64, u64) = (0, 1_000_000);
@@ -174,6 +185,11 @@
             &self.memory_limit_mb,
             decimal_in_range(MEMORY_LIMIT_BOUNDS_MB),
         );
+        let descriptor_limit = validator.check(
+            "descriptor_limit",
+            &self.descriptor_limit,
+            decimal_in_range(DESCRIPTOR_LIMIT_BOUNDS),
+        );
         let ratio = validator.check(
             "retry_ratio",
             &self.retry_ratio,
@@ -202,7 +218,8 @@
             processor: Millicores((processor_share? * MILLICORES_PER_CORE).round() as u64),
             workers: workers?,
             drain_timeout: millis_from_seconds(drain_timeout?),
-            body_budget: Bytes((memory_mb? * BYTES_PER_MB) as u64).percent(BODY_MEMORY_PERCENT),
+            memory_limit: Bytes((memory_mb? * BYTES_PER_MB) as u64),
+            descriptor_limit: descriptor_limit? as usize,
             retry_limit: RetryLimit {
                 ratio: ratio?,
                 allowance: allowance?,
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -3,16 +3,16 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    BodyBudget, Contact, Ingress, InstanceName, InstanceRegistry, LockLevel, OrderedMutex, Planner,
-    PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision,
-    StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability, UpstreamRegistry,
+    Contact, Ingress, InstanceName, InstanceRegistry, LockLevel, OrderedMutex, Planner, PoolName,
+    QuarantineList, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision, StoreChangeLog,
+    StoreFollower, Timestamp, UpstreamAvailability, UpstreamRegistry,
 };
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock, local_state, metrics, peer,
-    relay::{exchange, jobs, port, settings},
+    clock, local_state, metrics, peer, process_limit,
+    relay::{caller_connection, exchange, jobs, memory, port, settings},
 };
 
 /// The routing table, upstream registry and quarantine list, and the state of the store connection
@@ -124,15 +124,16 @@
     pub planners: OrderedMutex<collections::BTreeMap<PoolName, Planner>>,
     /// Lock order 4 (`LockLevel::Requests`).
     pub requests: OrderedMutex<Requests>,
-    /// Lock order 5 (`LockLevel::RunOnce`). Never locked together with `retry_limit`, which has the
-    /// same level.
-    pub body_budget: OrderedMutex<BodyBudget>,
-    /// Lock order 5 (`LockLevel::RunOnce`). Never locked together with another table.
+    /// Lock order 5 (`LockLevel::RunOnce`).
     retry_limit: OrderedMutex<RetryLimit>,
     /// Lock order 6 (`LockLevel::Budgets`).
     pub retry_windows: OrderedMutex<collections::BTreeMap<PoolName, RetryWindow>>,
-    /// Lock order 7 (`LockLevel::UpstreamAvailability`), the last.
+    /// Lock order 7 (`LockLevel::UpstreamAvailability`).
     pub availability: OrderedMutex<UpstreamAvailability>,
+    /// Lock order 8 (`LockLevel::Connections`).
+    pub connections: OrderedMutex<caller_connection::Connections>,
+    /// Lock order 9 (`LockLevel::Memory`), the last.
+    pub memory: memory::Memory,
 }
 
 impl Shared {
@@ -175,16 +176,21 @@
             membership: OrderedMutex::new(LockLevel::Members, membership),
             planners: OrderedMutex::new(LockLevel::Keepers, collections::BTreeMap::new()),
             requests: OrderedMutex::new(LockLevel::Requests, Requests::default()),
-            body_budget: OrderedMutex::new(
-                LockLevel::RunOnce,
-                BodyBudget::new(settings.body_budget),
-            ),
             retry_limit: OrderedMutex::new(LockLevel::RunOnce, settings.retry_limit),
             retry_windows: OrderedMutex::new(LockLevel::Budgets, collections::BTreeMap::new()),
             availability: OrderedMutex::new(
                 LockLevel::UpstreamAvailability,
                 UpstreamAvailability::default(),
             ),
+            connections: OrderedMutex::new(
+                LockLevel::Connections,
+                caller_connection::Connections::new(
+                    settings
+                        .descriptor_limit
+                        .min(process_limit::open_descriptors() as usize),
+                ),
+            ),
+            memory: memory::Memory::new(settings.memory_limit),
             settings,
         }
     }
