--- a/limpetkeeld/tests/peer.rs
+++ b/limpetkeeld/tests/peer.rs
@@ -153,6 +153,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_long_message_before_authentication_closes_the_connection() {
     let (address, metrics) = listen().await;
+    call(&peer_links(KEY), address, &gossip(1))
+        .await
+        .expect("response");
     let stream = tokio::net::TcpStream::connect(address)
         .await
         .expect("connection");
