--- a/standins/tests/untrusted_callers.rs
+++ b/standins/tests/untrusted_callers.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use bytes::Bytes;
+use platform::names;
 use standins::deployment::{
     crowd::{self, Crowd},
     daemon::Deployment,
@@ -54,6 +55,7 @@
     let table = Table {
         max_body_bytes: MAX_BODY_BYTES as u64,
         idle_timeout_ms: IDLE_TIMEOUT_MS,
+        timeout_ms: ANSWER_TIMEOUT.as_millis() as u64,
         ..Table::default()
     };
     let deployment = Deployment::start_with(1, 1, options, &table).await;
@@ -67,6 +69,11 @@
         .request(0, "POST", "/look/x", &id)
         .timeout(ANSWER_TIMEOUT)
         .body(vec![b'x'; body_len]);
+    let (client, req) = req.build_split();
+    let mut req = req.expect("request");
+    let remaining = (ANSWER_TIMEOUT.as_millis() as u64).into();
+    req.headers_mut().insert(names::REMAINING_MS, remaining);
+    let req = reqwest::RequestBuilder::from_parts(client, req);
     let response = deployment.send(req).await;
     response.ok().map(|response| response.status)
 }
@@ -203,6 +210,14 @@
     check_descriptors(vec![head, Bytes::from_static(b"x")]).await;
 }
 
+/// Guards against callers that send requests without reading the responses and keep all connections.
+#[tokio::test]
+async fn responses_that_are_not_read_leave_descriptors() {
+    let head = crowd::request_head("/nowhere/x", "content-length: 0");
+    let requests = head.repeat(2_000);
+    check_descriptors(vec![Bytes::from(requests)]).await;
+}
+
 /// Guards against limits that refuse a single caller who stays within them: a large body that moves
 /// slowly, with `Expect: 100-continue`, is served.
 #[tokio::test]
