Close connections whose callers do not read their responses

A caller that sent requests and did not read the responses kept its connection and what the system held for it without end.

--- a/limpetkeel/src/connection_table.rs
+++ b/limpetkeel/src/connection_table.rs
@@ -1,7 +1,7 @@
 //! The connections of callers, and which of them is closed when there are too many.
 //!
 //! A connection that waits for its caller may be closed to make room for another one; a connection
-//! whose request is being served may not. Connections that have not had a response yet are closed
+//! whose request is being served may not, unless its caller does not read the response. Connections that have not had a response yet are closed
 //! first, and among equals the one whose caller has been silent for longest.
 
 use std::{collections, error, fmt};
@@ -28,6 +28,8 @@
     Body,
     /// The response.
     Response,
+    /// A caller that does not read its response.
+    Unread,
 }
 
 impl ConnectionPhase {
@@ -38,6 +40,7 @@
             ConnectionPhase::Head => "head",
             ConnectionPhase::Body => "body",
             ConnectionPhase::Response => "response",
+            ConnectionPhase::Unread => "unread",
         }
     }
 }
@@ -57,7 +60,9 @@
     fn may_be_closed(&self, now: unit::Timestamp) -> bool {
         match self.phase {
             ConnectionPhase::Idle | ConnectionPhase::Head => true,
-            ConnectionPhase::Body => now.since(self.since) >= memory_account::STALLED_AFTER,
+            ConnectionPhase::Body | ConnectionPhase::Unread => {
+                now.since(self.since) >= memory_account::STALLED_AFTER
+            }
             ConnectionPhase::Response => false,
         }
     }
@@ -192,10 +197,20 @@
                 connection.since = now;
                 false
             }
-            ConnectionPhase::Head | ConnectionPhase::Response => false,
+            ConnectionPhase::Head | ConnectionPhase::Response | ConnectionPhase::Unread => false,
         }
     }
 
+    /// Records that the caller does not read its response.
+    pub fn block_response(&mut self, id: ConnectionId, now: unit::Timestamp) {
+        self.enter(id, ConnectionPhase::Unread, now);
+    }
+
+    /// Records that the caller reads its response again.
+    pub fn resume_response(&mut self, id: ConnectionId, now: unit::Timestamp) {
+        self.enter(id, ConnectionPhase::Response, now);
+    }
+
     /// Records that a request head is complete and its body is awaited.
     pub fn begin_body(&mut self, id: ConnectionId, now: unit::Timestamp) {
         self.enter(id, ConnectionPhase::Body, now);
--- a/limpetkeel/tests/connection_table.rs
+++ b/limpetkeel/tests/connection_table.rs
@@ -91,3 +91,20 @@
     table.begin_body(ids[2], START);
     assert_eq!(table.phase(ids[2]), None);
 }
+
+/// Guards against callers that do not read their responses and keep their connections.
+#[test]
+fn a_response_that_is_not_read_may_be_closed() {
+    let (mut table, ids) = full_table();
+    for id in ids {
+        table.begin_response(id, START);
+    }
+    table.block_response(ids[0], START);
+    table.block_response(ids[1], START);
+    table.resume_response(ids[1], START);
+    assert_eq!(table.close_one(START), Err(ConnectionsExhausted));
+    let closed = table
+        .close_one(START.after(STALLED_AFTER))
+        .expect("connection");
+    assert_eq!((closed.id, closed.phase), (ids[0], ConnectionPhase::Unread));
+}
--- a/limpetkeeld/src/listener.rs
+++ b/limpetkeeld/src/listener.rs
@@ -33,17 +33,20 @@
     listen_on(new_socket(address)?, address)
 }
 
-/// Listens like [`listen`] for connections whose receive buffers have a fixed size, in bytes.
+/// Listens like [`listen`] for connections whose buffers in the system have a fixed size, in bytes.
+/// Otherwise the system would let them grow to several megabytes for each connection.
 ///
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
-pub fn listen_with_receive_buffer(
+pub fn listen_with_buffers(
     address: net::SocketAddr,
-    buffer_len: u32,
+    receive_len: u32,
+    send_len: u32,
 ) -> io::Result<tokio::net::TcpListener> {
     let socket = new_socket(address)?;
-    socket.set_recv_buffer_size(buffer_len)?;
+    socket.set_recv_buffer_size(receive_len)?;
+    socket.set_send_buffer_size(send_len)?;
     listen_on(socket, address)
 }
 
--- a/limpetkeeld/src/relay/caller_connection.rs
+++ b/limpetkeeld/src/relay/caller_connection.rs
@@ -5,7 +5,7 @@
 
 use limpetkeel::{
     AdmittedConnection, ClosedConnection, ConnectionId, ConnectionPhase, ConnectionTable,
-    MemoryShare,
+    MemoryExhausted, MemoryShare,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -15,6 +15,10 @@
 /// over a round trip of 2 ms. The system counts about twice as much toward the memory limit.
 pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 
+/// The size of the system's send buffer of a connection, in bytes. It is counted while the caller
+/// does not read.
+pub const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 /// The memory of a connection beside its read buffer and receive buffer: its tasks and its state.
 const STATE_BYTES: usize = 8 * 1024;
 
@@ -144,11 +148,34 @@
         connections.table.end_response(self.id, now);
     }
 
+    /// Records that the caller does not read its response, and reserves memory for what the system
+    /// holds for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no memory.
+    pub fn block_response(&self) -> Result<memory::Reservation, MemoryExhausted> {
+        let now = self.shared.clock.now();
+        {
+            let mut connections = self.shared.connections.lock();
+            connections.table.block_response(self.id, now);
+        }
+        let share = MemoryShare::QueuedEvents;
+        self.shared.memory.try_reserve(share, SEND_BUFFER_BYTES)
+    }
+
+    /// Records that the caller reads its response again.
+    pub fn resume_response(&self) {
+        let now = self.shared.clock.now();
+        let mut connections = self.shared.connections.lock();
+        connections.table.resume_response(self.id, now);
+    }
+
     /// Records that the connection is closed since its caller was too slow.
-    pub fn record_too_slow(&self) {
+    pub fn record_too_slow(&self, reason: &str) {
         let closed = &self.shared.metrics.relay.closed_connections;
-        closed.with_label_values(&["head_too_slow"]).inc();
-        tracing::info!(event = "connection_closed", reason = "head_too_slow");
+        closed.with_label_values(&[reason]).inc();
+        tracing::info!(event = "connection_closed", reason);
     }
 }
 
--- a/limpetkeeld/src/relay/caller_stream.rs
+++ b/limpetkeeld/src/relay/caller_stream.rs
@@ -6,10 +6,10 @@
 use std::{io, mem, pin, sync, task};
 
 use hyper::body;
-use limpetkeel::{ConnectionPhase, Millis};
+use limpetkeel::{ConnectionPhase, MemoryExhausted, Millis, RequestLimits, STALLED_AFTER};
 use tokio::{io as async_io, net, time};
 
-use crate::relay::{body as relay_body, caller_connection};
+use crate::relay::{body as relay_body, caller_connection, memory};
 
 /// The most bytes that are read and dropped before a connection is closed.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
@@ -138,6 +138,12 @@
     remaining: usize,
 }
 
+/// A response that its caller does not read.
+struct BlockedResponse {
+    timer: pin::Pin<Box<time::Sleep>>,
+    _memory: Option<memory::Reservation>,
+}
+
 /// The byte stream of a caller's connection.
 pub struct CallerStream {
     stream: net::TcpStream,
@@ -145,21 +151,27 @@
     head_timeout: Millis,
     /// Runs while a request head is incomplete.
     head_timer: Option<pin::Pin<Box<time::Sleep>>>,
+    /// How long a caller may leave its response unread.
+    write_timeout: Millis,
+    blocked: Option<BlockedResponse>,
     discard: Option<Discard>,
 }
 
 impl CallerStream {
-    /// Wraps a stream. A request head must be complete `head_timeout` after its first byte.
+    /// Wraps a stream. A request head must be complete within the head timeout after its first byte,
+    /// and a caller must read some of its response within the idle timeout.
     pub fn new(
         stream: net::TcpStream,
         activity: sync::Arc<ConnectionActivity>,
-        head_timeout: Millis,
+        limits: RequestLimits,
     ) -> CallerStream {
         CallerStream {
             stream,
             activity,
-            head_timeout,
+            head_timeout: limits.head_timeout,
             head_timer: None,
+            write_timeout: limits.idle_timeout,
+            blocked: None,
             discard: None,
         }
     }
@@ -176,6 +188,43 @@
         timer.as_mut().poll(cx).is_ready()
     }
 
+    /// Checks the result of a write: a caller that does not read is closed after a time, which is
+    /// short if there is no memory for what is held for it.
+    fn check_written(
+        &mut self,
+        cx: &mut task::Context<'_>,
+        written: task::Poll<io::Result<usize>>,
+    ) -> task::Poll<io::Result<usize>> {
+        if written.is_ready() {
+            if self.blocked.take().is_some() {
+                self.activity.connection.resume_response();
+            }
+            return written;
+        }
+        let is_too_slow = match &mut self.blocked {
+            Some(blocked) => blocked.timer.as_mut().poll(cx).is_ready(),
+            None => {
+                let memory = self.activity.connection.block_response();
+                let timeout = match memory {
+                    Ok(_) => self.write_timeout,
+                    Err(MemoryExhausted) => STALLED_AFTER,
+                };
+                let mut timer = Box::pin(time::sleep(timeout.duration()));
+                let is_over = timer.as_mut().poll(cx).is_ready();
+                self.blocked = Some(BlockedResponse {
+                    timer,
+                    _memory: memory.ok(),
+                });
+                is_over
+            }
+        };
+        if is_too_slow {
+            self.activity.connection.record_too_slow("response_unread");
+            return task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        task::Poll::Pending
+    }
+
     /// Reads and drops bytes until the caller closes its side or a limit is reached.
     fn poll_discard(&mut self, cx: &mut task::Context<'_>) -> task::Poll<()> {
         let Some(discard) = &mut self.discard else {
@@ -209,7 +258,7 @@
         buf: &mut async_io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         if self.poll_head_timer(cx) {
-            self.activity.connection.record_too_slow();
+            self.activity.connection.record_too_slow("head_too_slow");
             // The caller may have closed the connection.
             let _ = self.stream.try_write(HEAD_TOO_SLOW);
             return task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
@@ -232,7 +281,8 @@
         cx: &mut task::Context<'_>,
         buf: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check_written(cx, written)
     }
 
     fn poll_write_vectored(
@@ -240,7 +290,8 @@
         cx: &mut task::Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check_written(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -43,9 +43,10 @@
 ///
 /// Returns an error if the address cannot be bound.
 pub async fn listen(shared: sync::Arc<shared::Shared>) -> io::Result<()> {
-    let listener = listener::listen_with_receive_buffer(
+    let listener = listener::listen_with_buffers(
         shared.settings.http_listen,
         caller_connection::RECEIVE_BUFFER_BYTES as u32,
+        caller_connection::SEND_BUFFER_BYTES as u32,
     )?;
     loop {
         tokio::select! {
@@ -97,7 +98,7 @@
         let (shared, activity) = (shared.clone(), activity.clone());
         move |req| handle(shared.clone(), exchange.clone(), activity.clone(), req)
     });
-    let stream = caller_stream::CallerStream::new(stream, activity.clone(), limits.head_timeout);
+    let stream = caller_stream::CallerStream::new(stream, activity.clone(), limits);
     let serving = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout).duration())
