--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -32,6 +32,7 @@
 mod availability_zone;
 mod backlog_index;
 mod budget;
+mod connection_table;
 mod crash_cause;
 mod crash_screening;
 mod drain_schedule;
@@ -48,6 +49,7 @@
 mod local_balancer;
 mod lock;
 mod member;
+mod memory_account;
 mod name;
 mod plan;
 mod plan_check;
@@ -60,6 +62,7 @@
 mod request;
 mod request_limit;
 mod request_size;
+mod response_limit;
 mod retry_window;
 mod revision;
 mod route;
@@ -78,6 +81,10 @@
 
 pub use availability_zone::{Reachability, ZoneReachability};
 pub use budget::{BodyBudget, RetryBudget};
+pub use connection_table::{
+    AdmittedConnection, ClosedConnection, ConnectionId, ConnectionPhase, ConnectionTable,
+    ConnectionsExhausted,
+};
 pub use crash_cause::{CrashCause, Quarantine, QuarantineUpdate};
 pub use crash_screening::{
     CauseDecision, CauseDecisionKind, Crash, CrashScreening, MAX_CAUSES_PER_REQUEST,
@@ -105,6 +112,7 @@
 pub use local_balancer::{LocalBalancer, Policy};
 pub use lock::{LockLevel, OrderedGuard, OrderedMutex};
 pub use member::{Contact, DEAD_AFTER, Digest, GOSSIP_ROUND, Heartbeat, ListedMember, Members};
+pub use memory_account::{BodyId, MemoryAccount, MemoryExhausted, MemoryShare, STALLED_AFTER};
 pub use name::{
     AvailabilityZoneName, IdempotencyKey, InstanceName, Kind as NameKind, PoolName, RouteName,
     UpstreamName, WorkspaceName,
@@ -130,6 +138,9 @@
 };
 pub use request_limit::{AnnouncedLimit, AnnouncedLimits, LimitNotice, RequestRate};
 pub use request_size::{LONG_PROMPT, RequestSize, TokenEstimator};
+pub use response_limit::{
+    BodyAllowance, HeadAllowance, MAX_EVENT, MAX_HEAD, MAX_UNRESERVED, ResponseLimit,
+};
 pub use retry_window::{RetryLimit, RetryWindow};
 pub use revision::{Era, Revision};
 pub use route::{Declaration as RouteDeclaration, Kind as RouteKind, Route};
--- a/limpetkeeld/src/listener.rs
+++ b/limpetkeeld/src/listener.rs
@@ -30,10 +30,37 @@
 ///
 /// Returns an error if the address cannot be bound.
 pub fn listen(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
-    let socket = match address {
-        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
-        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
-    };
+    listen_on(new_socket(address)?, address)
+}
+
+/// Listens like [`listen`] for connections whose buffers in the system have a fixed size, in bytes.
+/// Otherwise the system would let them grow to several megabytes for each connection.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub fn listen_with_buffers(
+    address: net::SocketAddr,
+    receive_len: u32,
+    send_len: u32,
+) -> io::Result<tokio::net::TcpListener> {
+    let socket = new_socket(address)?;
+    socket.set_recv_buffer_size(receive_len)?;
+    socket.set_send_buffer_size(send_len)?;
+    listen_on(socket, address)
+}
+
+fn new_socket(address: net::SocketAddr) -> io::Result<tokio::net::TcpSocket> {
+    match address {
+        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4(),
+        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6(),
+    }
+}
+
+fn listen_on(
+    socket: tokio::net::TcpSocket,
+    address: net::SocketAddr,
+) -> io::Result<tokio::net::TcpListener> {
     socket.set_reuseaddr(true)?;
     socket.set_nodelay(true)?;
     socket.bind(address)?;
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -16,6 +16,8 @@
     pub refusals: prometheus::IntCounterVec,
     /// Failed attempts that may be retried, by reason.
     pub retries: prometheus::IntCounterVec,
+    /// Responses of upstreams that exceeded a limit, by limit.
+    pub responses_over_limit: prometheus::IntCounterVec,
     /// Streams that broke off after they started and may continue on another upstream.
     pub resumed_streams: prometheus::IntCounter,
     /// Requests whose caller disconnected before the response was complete.
@@ -60,6 +62,14 @@
     pub cold_upstreams: prometheus::IntGaugeVec,
     /// Requests while upstreams were cold, by whether a cold one got them.
     pub cold_requests: prometheus::IntCounterVec,
+    /// Bytes that are reserved in the memory account, by share.
+    pub memory_bytes: prometheus::IntGaugeVec,
+    /// Connections of callers.
+    pub connections: prometheus::IntGauge,
+    /// Connections of callers that were closed to make room, refused or too slow, by reason.
+    pub closed_connections: prometheus::IntCounterVec,
+    /// Request bodies that were dropped to make room for others.
+    pub dropped_bodies: prometheus::IntCounter,
     /// Log lines dropped because the log queue was full.
     pub dropped_log_lines: prometheus::IntGauge,
 }
@@ -97,6 +107,11 @@
                 "Attempts that were followed by another one, by reason.",
                 &["reason"],
             )?,
+            responses_over_limit: registrar.counter_vec(
+                "limpetkeel_relay_responses_over_limit_total",
+                "Responses of upstreams that exceeded a limit, by limit.",
+                &["limit"],
+            )?,
             resumed_streams: registrar.counter(
                 "limpetkeel_relay_resumed_total",
                 "Streams that went on at another upstream.",
@@ -187,6 +202,24 @@
                 "Requests that cold upstreams got, or did not get because of their limit.",
                 &["result"],
             )?,
+            memory_bytes: registrar.gauge_vec(
+                "limpetkeel_relay_memory_bytes",
+                "Bytes reserved in the memory account, by share.",
+                &["share"],
+            )?,
+            connections: registrar.gauge(
+                "limpetkeel_relay_connections",
+                "Open connections of callers.",
+            )?,
+            closed_connections: registrar.counter_vec(
+                "limpetkeel_relay_closed_connections_total",
+                "Connections of callers that were closed or refused for lack of room or time.",
+                &["reason"],
+            )?,
+            dropped_bodies: registrar.counter(
+                "limpetkeel_relay_dropped_bodies_total",
+                "Request bodies that were dropped to make room for others.",
+            )?,
             dropped_log_lines: registrar.gauge(
                 "limpetkeel_log_lines_left_out",
                 "Log lines left out since the start because their queue was full.",
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays requests to any upstream service without interpreting their bodies.
 //!
-//! [`front`] accepts a request and matches it to a route, and [`drive`] carries it to its end. For
+//! [`front`] accepts a connection, which [`caller_connection`] adds to the connection table and
+//! [`caller_stream`] reads and writes, and matches a request to a route. [`caller_body`] receives its
+//! body into memory that is reserved in [`memory`], and [`drive`] carries the request to its end. For
 //! each attempt, [`preparation`] obtains a plan through [`planning`] from the pool's planner, which
 //! is the [`local_planner`] of one instance, connects to the lead, and reserves memory on the helper
 //! engines through [`reservations`]. [`attempt`] sends the request over one connection of
@@ -18,17 +20,22 @@
 pub mod attempt;
 pub mod availability;
 pub mod body;
+pub mod caller_body;
+pub mod caller_connection;
 pub mod caller_request;
+pub mod caller_stream;
 pub mod daemon;
 pub mod drain;
 pub mod drive;
 pub mod evacuation;
-mod events;
+pub mod event_queue;
+pub mod events;
 pub mod exchange;
 pub mod freshness;
 mod front;
 pub mod jobs;
 pub mod local_planner;
+pub mod memory;
 pub mod peer_fallback;
 pub mod peer_handler;
 pub mod planning;
@@ -39,6 +46,8 @@
 pub mod reload;
 pub mod request_summary;
 pub mod reservations;
+pub mod response_body;
+pub mod response_memory;
 pub mod response_writer;
 pub mod retry_budget;
 pub mod settings;
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -3,7 +3,8 @@
 use std::sync;
 
 use limpetkeel::{
-    AttemptResult, Plan, RelayedRequest, Routed, Sent, StalePlan, Timestamp, UpstreamName,
+    AttemptResult, Plan, RelayedRequest, ResponseLimit, Routed, Sent, StalePlan, Timestamp,
+    UpstreamName,
 };
 
 use crate::relay::{
@@ -49,6 +50,7 @@
         let response = match result {
             Ok(Completion::Streamed) => {
                 self.result = Some(request_summary::RequestResult::Streamed);
+                self.writer.complete_stream().await;
                 return;
             }
             Ok(Completion::Abandoned) => return,
@@ -60,7 +62,7 @@
             }
         };
         self.result = Some(request_summary::RequestResult::from_response(&response));
-        self.writer.finish(response).await;
+        self.writer.finish(response);
     }
 }
 
@@ -304,7 +306,15 @@
         Err(attempt::Failure::Failed(attempt::Cause::TimedOut)) => {
             (lead, AttemptResult::Silent, attempt::Cause::TimedOut.code())
         }
-        Err(attempt::Failure::Failed(cause)) => (lead, AttemptResult::Failed, cause.code()),
+        Err(attempt::Failure::Failed(cause @ attempt::Cause::NoMemory)) => {
+            (lead, AttemptResult::Inconclusive, cause.code())
+        }
+        Err(attempt::Failure::Failed(cause)) => {
+            if let attempt::Cause::LimitExceeded(limit) = cause {
+                record_exceeded_limit(shared, request, &lead, limit);
+            }
+            (lead, AttemptResult::Failed, cause.code())
+        }
     };
     plan_guard.record_attempt_result(&at_fault, attempt_result);
     record_failed_attempt(shared, request, &at_fault, reason);
@@ -364,6 +374,23 @@
     );
 }
 
+/// Counts and logs a response that exceeds a limit.
+fn record_exceeded_limit(
+    shared: &shared::Shared,
+    request: &caller_request::CallerRequest,
+    upstream: &UpstreamName,
+    limit: ResponseLimit,
+) {
+    let responses = &shared.metrics.relay.responses_over_limit;
+    responses.with_label_values(&[limit.code()]).inc();
+    tracing::warn!(
+        event = "response_over_limit",
+        request = %request.head.id,
+        upstream = %upstream,
+        limit = limit.code(),
+    );
+}
+
 /// Counts and logs a failed attempt.
 fn record_failed_attempt(
     shared: &shared::Shared,
--- a/limpetkeeld/src/relay/evacuation.rs
+++ b/limpetkeeld/src/relay/evacuation.rs
@@ -21,7 +21,7 @@
     at: Revision,
 ) {
     if tables.evacuations.lift(shared.clock.now(), zone, at) {
-        log_lifted(zone, at, "deleted");
+        record_lift(shared, tables, zone, at, "deleted");
         update_gauge(shared, tables);
     }
 }
@@ -38,7 +38,7 @@
         log_evacuated(zone, at);
     }
     for zone in &changes.lifted {
-        log_lifted(zone, at, "unlisted");
+        record_lift(shared, tables, zone, at, "unlisted");
     }
     update_gauge(shared, tables);
 }
@@ -48,7 +48,7 @@
     let at = tables.revision;
     let lifted = tables.evacuations.remove_expired(shared.clock.now(), at);
     for zone in &lifted {
-        log_lifted(zone, at, "lost");
+        record_lift(shared, tables, zone, at, "lost");
     }
     if !lifted.is_empty() {
         update_gauge(shared, tables);
@@ -64,6 +64,16 @@
     tracing::info!(event = "zone_evacuated", zone = %zone, revision = %revision);
 }
 
-fn log_lifted(zone: &AvailabilityZoneName, revision: Revision, reason: &str) {
+/// Logs a lift. The upstreams of the zone may have become cold while they got no requests, so that they
+/// count as cold from now on.
+fn record_lift(
+    shared: &shared::Shared,
+    tables: &mut shared::Tables,
+    zone: &AvailabilityZoneName,
+    revision: Revision,
+    reason: &str,
+) {
+    let now = shared.clock.now();
+    tables.upstreams.restart_cold_periods(now, zone);
     tracing::info!(event = "zone_evacuation_lifted", zone = %zone, revision = %revision, reason);
 }
