--- a/limpetkeel/src/connection_table.rs
+++ b/limpetkeel/src/connection_table.rs
@@ -98,7 +98,7 @@
     pub closed: Option<ClosedConnection>,
 }
 
-/// The connections of callers. See the [module documentation](self).
+/// The open connections of callers, and the rules by which one is closed for another.
 #[derive(Debug)]
 pub struct ConnectionTable {
     limit: usize,
--- a/limpetkeel/src/memory_account.rs
+++ b/limpetkeel/src/memory_account.rs
@@ -114,7 +114,7 @@
     }
 }
 
-/// The memory account. See the [module documentation](self).
+/// The memory that callers, upstreams and peers may take, divided into shares.
 #[derive(Debug)]
 pub struct MemoryAccount {
     total: unit::Bytes,
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -32,7 +32,7 @@
 pub mod events;
 pub mod exchange;
 pub mod freshness;
-mod front;
+pub mod front;
 pub mod jobs;
 pub mod local_planner;
 pub mod memory;
