Add hedged requests

A repeatable request whose response is slower than a quantile of its pool and route is sent to a second upstream. The first response wins and the other attempt is cancelled. Off unless hedge_ratio is set.

--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -41,6 +41,7 @@
 mod evacuation_list;
 mod floors;
 mod grant;
+mod hedging;
 mod ingress;
 mod instance;
 mod instance_registry;
@@ -96,6 +97,7 @@
 pub use evacuation_list::{Changes as EvacuationChanges, Entry as EvacuationEntry, EvacuationList};
 pub use floors::Floors;
 pub use grant::{Decision, Grant, HeldGrant, PlacementRequest, RequestId, UpstreamAddress};
+pub use hedging::{FirstAttempt, HedgeLimit, Hedging, NoHedgeReason};
 pub use ingress::{
     Admission, ColdLimit, Declaration as IngressDeclaration, Denial, Ingress, LatencyObjective,
     PoolDeclaration as IngressPoolDeclaration, PoolShare, RequestLimits, ResponseForm, RetryPolicy,
@@ -130,7 +132,8 @@
 };
 pub use rank::{PerRank, Rank};
 pub use relayed_request::{
-    NoRetryReason, Placed as PlacedRelayedRequest, RelayedRequest, RelayedRequestInfo, Routed, Sent,
+    Hedged, NoRetryReason, Placed as PlacedRelayedRequest, RelayedRequest, RelayedRequestInfo,
+    Routed, Sent,
 };
 pub use request::{
     Admitted, ChunkDecision, ChunkPosition, Ended, Placed, Received, Request, RequestInfo,
--- a/limpetkeel/src/planner/cold.rs
+++ b/limpetkeel/src/planner/cold.rs
@@ -73,13 +73,7 @@
             let Some(start_time) = start_time_of(&period.upstream) else {
                 continue;
             };
-            let cold_left = match period.cold_left {
-                upstream_registry::COLD_LEFT_UNKNOWN => limit.lifetime,
-                cold_left => cold_left,
-            };
-            let by_entry = period.since.after(cold_left);
-            let restarted = period.restarted.map(|at| at.after(limit.lifetime));
-            let until = restarted.map_or(by_entry, |end| end.max(by_entry));
+            let until = period.end(limit.lifetime);
             if until <= period.since {
                 continue;
             }
--- a/limpetkeel/src/relayed_request.rs
+++ b/limpetkeel/src/relayed_request.rs
@@ -1,7 +1,8 @@
 //! The life cycle of a relayed request, one type for each state.
 //!
 //! `Routed` becomes `Placed` with a plan. `Placed` becomes `Sent` when the first byte may have been
-//! sent. `Sent` ends, or returns to `Routed` if the request can be retried. The outcome that is
+//! sent. `Sent` becomes `Hedged` with a second attempt until one of the two goes on as `Sent`. `Sent`
+//! ends, or returns to `Routed` if the request can be retried. The outcome that is
 //! reported to the caller depends on all attempts: a request that may have run is never reported as
 //! not run.
 
@@ -25,6 +26,13 @@
     may_have_run_before: bool,
 }
 
+/// The state of a request that may be running on two upstreams.
+#[derive(Debug)]
+pub struct Hedged {
+    first: plan::Plan,
+    second: plan::Plan,
+}
+
 /// The properties of a request that do not depend on its state.
 #[derive(Clone, Debug)]
 pub struct RelayedRequestInfo {
@@ -238,6 +246,14 @@
         &self.state.plan
     }
 
+    /// Starts a second attempt beside the first one.
+    pub fn hedge(mut self, second: plan::Plan) -> RelayedRequest<Hedged> {
+        self.send_count += 1;
+        let (relayed, sent) = self.into_state(());
+        let first = sent.plan;
+        relayed.into_state(Hedged { first, second }).0
+    }
+
     /// Records that the event with this number is delivered to the caller. Returns `false` if the
     /// caller has already received it.
     pub fn record_delivered(&mut self, event: u64) -> bool {
@@ -264,3 +280,39 @@
         self.into_state(Routed(())).0
     }
 }
+
+impl RelayedRequest<Hedged> {
+    /// Returns the plan of the first attempt.
+    pub fn first(&self) -> &plan::Plan {
+        &self.state.first
+    }
+
+    /// Returns the plan of the second attempt.
+    pub fn second(&self) -> &plan::Plan {
+        &self.state.second
+    }
+
+    /// Continues with the first attempt, after the second one was cancelled or has failed.
+    pub fn into_first(self) -> RelayedRequest<Sent> {
+        let (relayed, hedged) = self.into_state(());
+        relayed.continue_hedged(hedged.first, hedged.second)
+    }
+
+    /// Continues with the second attempt, after the first one was cancelled or has failed.
+    pub fn into_second(self) -> RelayedRequest<Sent> {
+        let (relayed, hedged) = self.into_state(());
+        relayed.continue_hedged(hedged.second, hedged.first)
+    }
+}
+
+impl RelayedRequest<()> {
+    /// Continues with one of two attempts. The upstream of the other one may have run the request.
+    fn continue_hedged(mut self, plan: plan::Plan, other: plan::Plan) -> RelayedRequest<Sent> {
+        self.tried_upstreams.push(other.lead.upstream);
+        let sent = Sent {
+            plan,
+            may_have_run_before: true,
+        };
+        self.into_state(sent).0
+    }
+}
--- a/limpetkeel/src/upstream_registry.rs
+++ b/limpetkeel/src/upstream_registry.rs
@@ -73,6 +73,19 @@
     pub restarted: Option<unit::Timestamp>,
 }
 
+impl ColdPeriod {
+    /// Returns when the period ends, if upstreams of the pool stay cold for `lifetime`.
+    pub fn end(&self, lifetime: unit::Millis) -> unit::Timestamp {
+        let cold_left = match self.cold_left {
+            COLD_LEFT_UNKNOWN => lifetime,
+            cold_left => cold_left,
+        };
+        let by_entry = self.since.after(cold_left);
+        let restarted = self.restarted.map(|at| at.after(lifetime));
+        restarted.map_or(by_entry, |end| end.max(by_entry))
+    }
+}
+
 /// An entry and whether it is missing from the store.
 #[derive(Debug)]
 struct TrackedEntry {
--- a/limpetkeel/tests/relayed_request.rs
+++ b/limpetkeel/tests/relayed_request.rs
@@ -134,3 +134,24 @@
     relayed.limit_deadline(Timestamp(2_000));
     assert_eq!(relayed.deadline(), Timestamp(500));
 }
+
+/// Guards against a hedge that is not counted as a send, or an outcome that says it did not run.
+#[test]
+fn a_hedge_counts_as_a_send_and_either_attempt_can_go_on() {
+    for second_wins in [false, true] {
+        let hedged = sent(RetryPolicy::Restart, 2).hedge(plan("b"));
+        assert_eq!(hedged.send_count(), 2);
+        let relayed = if second_wins {
+            hedged.into_second()
+        } else {
+            hedged.into_first()
+        };
+        let (winner, other) = if second_wins { ("b", "a") } else { ("a", "b") };
+        assert_eq!(relayed.plan().lead.upstream.as_str(), winner);
+        assert_eq!(relayed.tried_upstreams()[0].as_str(), other);
+        let declined = relayed.into_declined(None);
+        assert_eq!(declined.outcome(), Outcome::Failed);
+        let check = declined.check_send(Timestamp(0));
+        assert_eq!(check, Err(NoRetryReason::MaxSendsReached));
+    }
+}
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -36,6 +36,8 @@
     pub outdated_planners: prometheus::IntCounter,
     /// Plans that were given back because they contradict the local tables, by reason.
     pub stale_plans: prometheus::IntCounterVec,
+    /// Hedged requests and requests that were not hedged when due, by result.
+    pub hedges: prometheus::IntCounterVec,
     /// Evacuated availability zones.
     pub evacuated_zones: prometheus::IntGauge,
     /// Decisions about causes of crashes, by kind.
@@ -150,6 +152,11 @@
                 "Plans given back because of an upstream that must not be used, by reason.",
                 &["reason"],
             )?,
+            hedges: registrar.counter_vec(
+                "limpetkeel_relay_hedges_total",
+                "Requests that were slow enough for a second attempt, by result.",
+                &["result"],
+            )?,
             evacuated_zones: registrar.gauge(
                 "limpetkeel_relay_evacuated_zones",
                 "Availability zones to whose upstreams nothing new is sent.",
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -5,7 +5,7 @@
 //! body into memory that is reserved in [`memory`], and [`drive`] carries the request to its end. For
 //! each attempt, [`preparation`] obtains a plan through [`planning`] from the pool's planner, which
 //! is the [`local_planner`] of one instance, connects to the lead, and reserves memory on the helper
-//! engines through [`reservations`]. [`attempt`] sends the request over one connection of
+//! engines through [`reservations`]. [`hedge`] starts the attempt, and a second one if the response is slow. [`attempt`] sends the request over one connection of
 //! [`upstream`], [`availability`] keeps what the response says about further requests, and
 //! [`stream`] forwards an event stream to the caller through [`response_writer`].
 //! [`request_summary`] logs the result.
@@ -33,6 +33,7 @@
 pub mod exchange;
 pub mod freshness;
 mod front;
+pub mod hedge;
 pub mod jobs;
 pub mod local_planner;
 pub mod memory;
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -1,15 +1,15 @@
 //! A single attempt to serve a request on one upstream.
 
-use std::{sync, time};
+use std::time;
 
 use bytes::Bytes;
 use limpetkeel::{
     BodyAllowance, Millis, Plan, RelayedRequest, ResponseForm, ResponseLimit, RetryPolicy, Sent,
-    Timeliness, UpstreamName,
+    Timeliness, UpstreamName, UpstreamProcess,
 };
 
 use crate::relay::{
-    availability, caller_request, drain, planning, port, response_body, response_writer,
+    availability, caller_request, planning, port, reservations, response_body, response_writer,
     retry_budget, shared, stream, upstream,
 };
 
@@ -123,21 +123,22 @@
 }
 
 /// Builds the request to the lead upstream.
-fn build_request(
+fn build_request<S>(
     shared: &shared::Shared,
     request: &caller_request::CallerRequest,
-    relayed: &RelayedRequest<Sent>,
+    relayed: &RelayedRequest<S>,
+    plan: &Plan,
     helpers: &[port::HelperRef],
     remaining: Millis,
 ) -> http::Request<Bytes> {
     let dispatch = port::Dispatch {
         remaining,
-        upstream: &relayed.plan().lead.upstream,
+        upstream: &plan.lead.upstream,
         workspace: request.admission.workspace.as_ref().map(|w| &w.name),
         strip_key: request.admission.uses_keys,
         priority: request
             .targets_engine
-            .then(|| engine_priority(request, relayed.plan())),
+            .then(|| engine_priority(request, plan)),
         helpers,
         resume_after: relayed.last_delivered_event(),
     };
@@ -148,121 +149,210 @@
     req
 }
 
-/// The resources that an attempt uses.
-pub struct AttemptContext<'a> {
+/// The resources prepared for an attempt.
+pub struct PreparedAttempt {
+    /// The plan's guard, which reports the start of the response and the attempt result.
+    pub plan_guard: planning::PlanGuard,
+    /// The helper engines of the plan and their reservations.
+    pub group: reservations::HelperGroup,
     /// The connection to the lead upstream.
     pub connection: upstream::Connection,
-    /// The helper engines of the plan.
-    pub helpers: &'a [port::HelperRef],
-    /// The plan's guard, which reports the start of the response and the attempt result.
-    pub plan_guard: &'a mut planning::PlanGuard,
-    /// An earlier stalled attempt. It is dropped when this attempt delivers an event.
-    pub standby: &'a mut Option<stream::Standby>,
 }
 
-/// Sends the request to the lead upstream and forwards a stream to the caller as it arrives.
+/// The beginning of a successful response.
+pub enum Begun {
+    /// A complete response.
+    Complete(response_writer::CompleteResponse),
+    /// A stream whose response head has been received.
+    Stream(Box<stream::OpenStream>),
+}
+
+impl Begun {
+    /// Returns `true` if a complete response or the first event of a stream has arrived.
+    pub fn has_arrived(&self) -> bool {
+        match self {
+            Begun::Complete(_) => true,
+            Begun::Stream(stream) => stream.has_first_event(),
+        }
+    }
+}
+
+/// A request to the lead upstream that is ready to be sent.
+pub struct Outgoing {
+    connection: upstream::Connection,
+    req: http::Request<Bytes>,
+    process: Option<UpstreamProcess>,
+    response_deadline: tokio::time::Instant,
+}
+
+impl Outgoing {
+    /// Builds the request to the lead upstream of a plan.
+    pub fn new<S>(
+        shared: &shared::Shared,
+        request: &caller_request::CallerRequest,
+        relayed: &RelayedRequest<S>,
+        plan: &Plan,
+        connection: upstream::Connection,
+        helpers: &[port::HelperRef],
+    ) -> Outgoing {
+        let remaining = relayed.deadline().since(shared.clock.now());
+        let last = !retry_budget::may_retry(shared, relayed);
+        let timeout = response_timeout(request, plan, remaining, last);
+        Outgoing {
+            connection,
+            req: build_request(shared, request, relayed, plan, helpers, remaining),
+            process: availability::process_at(shared, &relayed.info().pool, &plan.lead),
+            response_deadline: tokio::time::Instant::now() + timeout,
+        }
+    }
+
+    /// Returns when a complete response or the first event has to arrive.
+    pub fn response_deadline(&self) -> tokio::time::Instant {
+        self.response_deadline
+    }
+
+    /// Sends the request and waits for a complete response or the response head of a stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the upstream declines the request, or if the response is late,
+    /// incomplete, for another request or an error response.
+    pub async fn send(
+        self,
+        shared: &shared::Shared,
+        request: &caller_request::CallerRequest,
+    ) -> Result<Begun, Failure> {
+        let response_deadline = self.response_deadline;
+        let sent = tokio::time::timeout_at(response_deadline, self.connection.send(self.req)).await;
+        let mut response = sent
+            .map_err(|_| Failure::Failed(Cause::TimedOut))?
+            .map_err(|e| match e {
+                upstream::Error::Broken => Failure::Failed(Cause::Crashed),
+                upstream::Error::LimitExceeded(limit) => {
+                    Failure::Failed(Cause::LimitExceeded(limit))
+                }
+                _ => Failure::Failed(Cause::Broken),
+            })?;
+        if response.head.status.is_informational() {
+            // The request offers no upgrade.
+            return Err(Failure::Failed(Cause::Broken));
+        }
+        let response_head = shared.codec.decode_response(&response.head);
+        let own_id = response_head
+            .id
+            .as_deref()
+            .map(|id| id == &*request.head.id);
+        if let Some(process) = self.process
+            && own_id != Some(false)
+        {
+            availability::record_response(shared, &process, &response_head);
+        }
+        // A decline may come without an ID. With another ID it says nothing about this request.
+        if response_head.declined && own_id != Some(false) {
+            let at_fault = response_head.at_fault.as_deref();
+            return Err(Failure::Declined(
+                at_fault.and_then(|at| resolve_upstream(shared, at)),
+            ));
+        }
+        if own_id != Some(true) || !response_head.signed || response.is_encoded() {
+            return Err(Failure::Failed(Cause::Mismatched));
+        }
+        let success = response.head.status.is_success();
+        if success && request.admission.route.form() == ResponseForm::Stream {
+            if !response.may_contain_events() {
+                return Err(Failure::Failed(Cause::NotEvents));
+            }
+            let head = shared.codec.encode_response(&response.head);
+            let stream = stream::OpenStream::new(&shared.memory, response, head);
+            return Ok(Begun::Stream(Box::new(stream)));
+        }
+        let allowance = BodyAllowance::new(success);
+        let collecting = response_body::receive(&shared.memory, &mut response, allowance);
+        let collected = tokio::time::timeout_at(response_deadline, collecting).await;
+        let body = collected
+            .map_err(|_| Failure::Failed(Cause::TimedOut))?
+            .map_err(|e| match e {
+                response_body::Error::Broken => Failure::Failed(Cause::Broken),
+                response_body::Error::LimitExceeded(limit) => {
+                    Failure::Failed(Cause::LimitExceeded(limit))
+                }
+                response_body::Error::NoMemory => Failure::Failed(Cause::NoMemory),
+            })?;
+        let complete = response_writer::CompleteResponse {
+            head: shared.codec.encode_response(&response.head),
+            body,
+        };
+        if success {
+            Ok(Begun::Complete(complete))
+        } else {
+            Err(Failure::ErrorResponse(complete))
+        }
+    }
+
+    /// Sends the request and waits for a complete response or the first event of a stream. A stream
+    /// without an event is returned when it is late.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Outgoing::send`] does, and if a stream breaks off before its first
+    /// event.
+    pub async fn send_until_arrival(
+        self,
+        shared: &shared::Shared,
+        request: &caller_request::CallerRequest,
+    ) -> Result<Begun, Failure> {
+        let response_deadline = self.response_deadline;
+        let mut begun = self.send(shared, request).await?;
+        if let Begun::Stream(stream) = &mut begun {
+            let arrival = stream.wait_for_first_event();
+            match tokio::time::timeout_at(response_deadline, arrival).await {
+                Ok(Err(e)) => return Err(stream_failure(e, stream.has_begun())),
+                // A late stream stays open.
+                Ok(Ok(())) | Err(_) => {}
+            }
+        }
+        Ok(begun)
+    }
+}
+
+/// Returns the failure of an attempt whose stream was not forwarded to its end.
+fn stream_failure(failure: stream::Failure, has_begun: bool) -> Failure {
+    match failure {
+        stream::Failure::Stalled => Failure::Failed(Cause::TimedOut),
+        stream::Failure::Broken if !has_begun => Failure::Failed(Cause::Crashed),
+        stream::Failure::Broken => Failure::Failed(Cause::Broken),
+        stream::Failure::NotEvents => Failure::Failed(Cause::NotEvents),
+        stream::Failure::LimitExceeded(limit) => Failure::Failed(Cause::LimitExceeded(limit)),
+        stream::Failure::NoMemory => Failure::Failed(Cause::NoMemory),
+        stream::Failure::CallerDisconnected => Failure::CallerDisconnected,
+    }
+}
+
+/// Forwards a stream to the caller as it arrives.
 ///
 /// Returns a complete response, or `None` if a stream was forwarded to its end.
 ///
 /// # Errors
 ///
-/// Returns an error if the upstream declines the request, if the response is late, incomplete, for
-/// another request or an error response, or if the caller disconnects.
-pub async fn run(
-    shared: &sync::Arc<shared::Shared>,
+/// Returns an error if the stream is late or breaks off, or if the caller disconnects.
+pub async fn forward(
+    shared: &shared::Shared,
     request: &caller_request::CallerRequest,
     relayed: &mut RelayedRequest<Sent>,
-    context: AttemptContext<'_>,
+    begun: Begun,
+    response_deadline: tokio::time::Instant,
+    context: stream::StreamContext<'_>,
     writer: &mut response_writer::ResponseWriter,
 ) -> Result<Option<response_writer::CompleteResponse>, Failure> {
-    drain::limit_deadline(shared, relayed);
-    let remaining = relayed.deadline().since(shared.clock.now());
-    let last = !retry_budget::may_retry(shared, relayed);
-    let timeout = response_timeout(request, relayed.plan(), remaining, last);
-    let response_deadline = tokio::time::Instant::now() + timeout;
-    let req = build_request(shared, request, relayed, context.helpers, remaining);
-    let process = availability::process_at(shared, &relayed.info().pool, &relayed.plan().lead);
-    let sent = tokio::time::timeout_at(response_deadline, context.connection.send(req)).await;
-    let mut response = sent
-        .map_err(|_| Failure::Failed(Cause::TimedOut))?
-        .map_err(|e| match e {
-            upstream::Error::Broken => Failure::Failed(Cause::Crashed),
-            upstream::Error::LimitExceeded(limit) => Failure::Failed(Cause::LimitExceeded(limit)),
-            _ => Failure::Failed(Cause::Broken),
-        })?;
-    if response.head.status.is_informational() {
-        // The request offers no upgrade.
-        return Err(Failure::Failed(Cause::Broken));
-    }
-    let response_head = shared.codec.decode_response(&response.head);
-    let own_id = response_head
-        .id
-        .as_deref()
-        .map(|id| id == &*request.head.id);
-    if let Some(process) = process
-        && own_id != Some(false)
-    {
-        availability::record_response(shared, &process, &response_head);
-    }
-    // A decline may come without an ID. With another ID it says nothing about this request.
-    if response_head.declined && own_id != Some(false) {
-        let at_fault = response_head.at_fault.as_deref();
-        return Err(Failure::Declined(
-            at_fault.and_then(|at| resolve_upstream(shared, at)),
-        ));
-    }
-    if own_id != Some(true) || !response_head.signed || response.is_encoded() {
-        return Err(Failure::Failed(Cause::Mismatched));
-    }
-    let success = response.head.status.is_success();
-    if success && request.admission.route.form() == ResponseForm::Stream {
-        if !response.may_contain_events() {
-            return Err(Failure::Failed(Cause::NotEvents));
-        }
-        let head = shared.codec.encode_response(&response.head);
-        let mut stream = stream::OpenStream::new(&shared.memory, response, head);
-        let context = stream::StreamContext {
-            plan_guard: context.plan_guard,
-            standby: context.standby,
-        };
-        let result = stream
-            .run(shared, request, relayed, response_deadline, context, writer)
-            .await;
-        return match result {
-            Ok(()) => Ok(None),
-            Err(stream::Failure::Stalled) => Err(Failure::Stalled(Box::new(stream))),
-            Err(stream::Failure::Broken) if !stream.has_begun() => {
-                Err(Failure::Failed(Cause::Crashed))
-            }
-            Err(stream::Failure::Broken) => Err(Failure::Failed(Cause::Broken)),
-            Err(stream::Failure::NotEvents) => Err(Failure::Failed(Cause::NotEvents)),
-            Err(stream::Failure::LimitExceeded(limit)) => {
-                Err(Failure::Failed(Cause::LimitExceeded(limit)))
-            }
-            Err(stream::Failure::NoMemory) => Err(Failure::Failed(Cause::NoMemory)),
-            Err(stream::Failure::CallerDisconnected) => Err(Failure::CallerDisconnected),
-        };
-    }
-    let allowance = BodyAllowance::new(success);
-    let collecting = response_body::receive(&shared.memory, &mut response, allowance);
-    let collected = tokio::time::timeout_at(response_deadline, collecting).await;
-    let body = collected
-        .map_err(|_| Failure::Failed(Cause::TimedOut))?
-        .map_err(|e| match e {
-            response_body::Error::Broken => Failure::Failed(Cause::Broken),
-            response_body::Error::LimitExceeded(limit) => {
-                Failure::Failed(Cause::LimitExceeded(limit))
-            }
-            response_body::Error::NoMemory => Failure::Failed(Cause::NoMemory),
-        })?;
-    let complete = response_writer::CompleteResponse {
-        head: shared.codec.encode_response(&response.head),
-        body,
+    let mut stream = match begun {
+        Begun::Complete(response) => return Ok(Some(response)),
+        Begun::Stream(stream) => stream,
     };
-    if success {
-        Ok(Some(complete))
-    } else {
-        Err(Failure::ErrorResponse(complete))
+    let forwarding = stream.run(shared, request, relayed, response_deadline, context, writer);
+    match forwarding.await {
+        Ok(()) => Ok(None),
+        Err(stream::Failure::Stalled) => Err(Failure::Stalled(stream)),
+        Err(e) => Err(stream_failure(e, stream.has_begun())),
     }
 }
 
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::relay::{
-    attempt, caller_request, drain, planning, preparation, request_summary, reservations,
-    response_writer, retry_budget, shared, stream, upstream,
+    attempt, caller_request, drain, hedge, planning, preparation, request_summary, response_writer,
+    retry_budget, shared, stream,
 };
 
 /// Number of failures to connect or to reserve memory after which a request is given up.
@@ -161,7 +161,7 @@
         };
         let placed = relayed.place(plan);
         summary.record_plan(placed.plan());
-        match preparation::prepare(shared, &placed).await {
+        match preparation::prepare(shared, &placed.info().pool, placed.plan()).await {
             Ok((group, connection)) => {
                 if let Err(retry_budget::Exhausted) = retry_budget::take(shared, &placed) {
                     return RetryLoopOutcome::GaveUp(
@@ -169,7 +169,7 @@
                         request_summary::FailureReason::NoBudget,
                     );
                 }
-                let prepared = PreparedAttempt {
+                let prepared = attempt::PreparedAttempt {
                     plan_guard,
                     group,
                     connection,
@@ -231,32 +231,31 @@
     preparation::obtain_plan(shared, request, relayed).await
 }
 
-/// The resources prepared for an attempt.
-struct PreparedAttempt {
-    plan_guard: planning::PlanGuard,
-    group: reservations::HelperGroup,
-    connection: upstream::Connection,
-}
-
 /// Runs one attempt and reports its result to the planner.
 async fn run_attempt(
     shared: &sync::Arc<shared::Shared>,
     request: &caller_request::CallerRequest,
-    mut sent: RelayedRequest<Sent>,
-    prepared: PreparedAttempt,
+    sent: RelayedRequest<Sent>,
+    prepared: attempt::PreparedAttempt,
     standby: &mut Option<stream::Standby>,
     writer: &mut response_writer::ResponseWriter,
     summary: &mut request_summary::RequestSummary,
 ) -> AttemptOutcome {
-    let mut plan_guard = prepared.plan_guard;
+    let started = hedge::start(shared, request, sent, prepared, writer.is_streaming()).await;
+    let (mut sent, mut plan_guard) = (started.sent, started.plan_guard);
+    summary.sends = sent.send_count();
     let lead = sent.plan().lead.upstream.clone();
-    let context = attempt::AttemptContext {
-        connection: prepared.connection,
-        helpers: prepared.group.helpers(),
-        plan_guard: &mut plan_guard,
-        standby,
+    let result = match started.begun {
+        Ok(begun) => {
+            let context = stream::StreamContext {
+                plan_guard: &mut plan_guard,
+                standby,
+            };
+            let deadline = started.response_deadline;
+            attempt::forward(shared, request, &mut sent, begun, deadline, context, writer).await
+        }
+        Err(failure) => Err(failure),
     };
-    let result = attempt::run(shared, request, &mut sent, context, writer).await;
     let (at_fault, attempt_result, reason) = match result {
         Ok(response) => {
             plan_guard.record_success(&lead);
@@ -291,7 +290,7 @@
                 stream,
                 plan,
                 plan_guard,
-                group: prepared.group,
+                group: started.group,
             });
             return AttemptOutcome::Retry(sent.into_failed());
         }
@@ -392,7 +391,7 @@
 }
 
 /// Counts and logs a failed attempt.
-fn record_failed_attempt(
+pub fn record_failed_attempt(
     shared: &shared::Shared,
     request: &caller_request::CallerRequest,
     at_fault: &UpstreamName,
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -4,8 +4,8 @@
 use std::{mem, sync, time};
 
 use limpetkeel::{
-    AttemptResult, Error, Millis, Outcome, PlacedRelayedRequest, Plan, PlanProcesses, PlanRequest,
-    PoolName, RelayedRequest, RequestId, Routed, StalePlan, UpstreamName,
+    AttemptResult, Error, Millis, Outcome, Plan, PlanProcesses, PlanRequest, PoolName,
+    RelayedRequest, RequestId, Routed, Sent, StalePlan, UpstreamName,
 };
 
 use crate::relay::{
@@ -60,38 +60,8 @@
     let mut is_waiting = false;
     loop {
         drain::limit_deadline(shared, relayed);
-        let now = shared.clock.now();
-        let pool = &relayed.info().pool;
-        let mut unavailable_upstreams = availability::unavailable_upstreams(shared, pool);
-        let known_revision = {
-            let tables = shared.tables.lock();
-            if !relayed.stale_upstreams().is_empty() {
-                unavailable_upstreams.extend_from_slice(relayed.stale_upstreams());
-                let (upstreams, evacuations) = (&tables.upstreams, &tables.evacuations);
-                let ruled_out = limpetkeel::ruled_out_upstreams(upstreams, evacuations, pool);
-                unavailable_upstreams.extend(ruled_out);
-            }
-            tables.known_revision(pool)
-        };
-        let plan_request = PlanRequest {
-            id: RequestId(rand::random()),
-            pool: relayed.info().pool.clone(),
-            availability_zone: shared.settings.availability_zone.clone(),
-            size: request.head.size,
-            causes: request.causes(),
-            objective,
-            remaining: relayed.deadline().since(now),
-            waiting_id: request.waiting_id,
-            waited: now.since(relayed.received()),
-            may_have_run: relayed.outcome() != Outcome::NotRun,
-            is_resumed: relayed.last_delivered_event().is_some(),
-            excluded_upstreams: relayed.tried_upstreams().to_vec(),
-            unavailable_upstreams,
-            limits: availability::limit_notices(shared, &relayed.info().pool),
-            repeatable: retry_budget::is_repeatable(shared, relayed),
-            planners: 1,
-            known_revision,
-        };
+        let repeatable = retry_budget::is_repeatable(shared, relayed);
+        let plan_request = build_plan_request(shared, request, relayed, repeatable);
         let refusal = match planning::obtain(shared, &plan_request, &request.head.id).await {
             Ok(planned) => return Ok(planned),
             Err(e) => e,
@@ -122,6 +92,80 @@
     }
 }
 
+/// Obtains the plan of a second attempt, which never uses the upstream of the first one or a cold
+/// one. It does not wait.
+///
+/// # Errors
+///
+/// Returns the planner's refusal.
+pub async fn obtain_hedge_plan(
+    shared: &sync::Arc<shared::Shared>,
+    request: &caller_request::CallerRequest,
+    relayed: &RelayedRequest<Sent>,
+) -> limpetkeel::Result<(Plan, planning::PlanGuard)> {
+    // An upstream on trial is given repeatable requests first; a hedge is no trial.
+    let mut plan_request = build_plan_request(shared, request, relayed, false);
+    // A refused hedge must not take the place of a request that waits.
+    plan_request.waiting_id = RequestId(rand::random());
+    let unavailable = &mut plan_request.unavailable_upstreams;
+    unavailable.push(relayed.plan().lead.upstream.clone());
+    unavailable.extend(cold_upstreams(shared, &relayed.info().pool));
+    planning::obtain(shared, &plan_request, &request.head.id).await
+}
+
+/// Returns the upstreams of a pool that are cold, as far as the local tables say.
+fn cold_upstreams(shared: &shared::Shared, pool: &PoolName) -> Vec<UpstreamName> {
+    let now = shared.clock.now();
+    let tables = shared.tables.lock();
+    let Some(limit) = tables.ingress.cold_limit(pool) else {
+        return Vec::new();
+    };
+    let periods = tables.upstreams.cold_periods(now, pool).into_iter();
+    let cold = periods.filter(|period| period.end(limit.lifetime) > now);
+    cold.map(|period| period.upstream).collect()
+}
+
+/// Builds a plan request.
+fn build_plan_request<S>(
+    shared: &shared::Shared,
+    request: &caller_request::CallerRequest,
+    relayed: &RelayedRequest<S>,
+    repeatable: bool,
+) -> PlanRequest {
+    let now = shared.clock.now();
+    let pool = &relayed.info().pool;
+    let mut unavailable_upstreams = availability::unavailable_upstreams(shared, pool);
+    let known_revision = {
+        let tables = shared.tables.lock();
+        if !relayed.stale_upstreams().is_empty() {
+            unavailable_upstreams.extend_from_slice(relayed.stale_upstreams());
+            let (upstreams, evacuations) = (&tables.upstreams, &tables.evacuations);
+            let ruled_out = limpetkeel::ruled_out_upstreams(upstreams, evacuations, pool);
+            unavailable_upstreams.extend(ruled_out);
+        }
+        tables.known_revision(pool)
+    };
+    PlanRequest {
+        id: RequestId(rand::random()),
+        pool: pool.clone(),
+        availability_zone: shared.settings.availability_zone.clone(),
+        size: request.head.size,
+        causes: request.causes(),
+        objective: request.admission.route.objective(),
+        remaining: relayed.deadline().since(now),
+        waiting_id: request.waiting_id,
+        waited: now.since(relayed.received()),
+        may_have_run: relayed.outcome() != Outcome::NotRun,
+        is_resumed: relayed.last_delivered_event().is_some(),
+        excluded_upstreams: relayed.tried_upstreams().to_vec(),
+        unavailable_upstreams,
+        limits: availability::limit_notices(shared, pool),
+        repeatable,
+        planners: 1,
+        known_revision,
+    }
+}
+
 /// Logs and counts that a request waits for its turn.
 fn log_waiting(
     shared: &shared::Shared,
@@ -144,10 +188,9 @@
 /// Returns the reason why the plan cannot be used. Nothing of the request has been sent by then.
 pub async fn prepare(
     shared: &sync::Arc<shared::Shared>,
-    placed: &RelayedRequest<PlacedRelayedRequest>,
+    pool: &PoolName,
+    plan: &Plan,
 ) -> Result<(reservations::HelperGroup, upstream::Connection), PreparationFailure> {
-    let plan = placed.plan();
-    let pool = &placed.info().pool;
     let mut processes = PlanProcesses::default();
     check_tables(shared, pool, plan, &mut processes)?;
     check_available(shared, plan)?;
--- a/limpetkeeld/src/relay/retry_budget.rs
+++ b/limpetkeeld/src/relay/retry_budget.rs
@@ -9,7 +9,7 @@
 pub struct Exhausted;
 
 /// Returns `true` if the request may be retried, should its current attempt fail now.
-pub fn may_retry(shared: &shared::Shared, relayed: &RelayedRequest<Sent>) -> bool {
+pub fn may_retry<S>(shared: &shared::Shared, relayed: &RelayedRequest<S>) -> bool {
     let now = shared.clock.now();
     let limit = shared.retry_limit();
     let instances = shared.membership.lock().instances.len();
@@ -58,3 +58,21 @@
         Err(Exhausted)
     }
 }
+
+/// Deducts the second send of a hedged request from the pool's budget.
+///
+/// # Errors
+///
+/// Returns [`Exhausted`] if the budget is exhausted.
+pub fn take_hedge(
+    shared: &shared::Shared,
+    relayed: &RelayedRequest<Sent>,
+) -> Result<(), Exhausted> {
+    let now = shared.clock.now();
+    let limit = shared.retry_limit();
+    let instances = shared.membership.lock().instances.len();
+    let mut retry_windows = shared.retry_windows.lock();
+    let window = retry_windows.get_mut(&relayed.info().pool);
+    let taken = window.is_some_and(|window| window.take(now, &limit, instances));
+    taken.then_some(()).ok_or(Exhausted)
+}
--- a/limpetkeeld/src/relay/settings.rs
+++ b/limpetkeeld/src/relay/settings.rs
@@ -2,7 +2,9 @@
 
 use std::{fs, net, path};
 
-use limpetkeel::{AvailabilityZoneName, Bytes, InstanceName, Millicores, Millis, RetryLimit};
+use limpetkeel::{
+    AvailabilityZoneName, Bytes, HedgeLimit, InstanceName, Millicores, Millis, RetryLimit,
+};
 
 use crate::{
     process_limit,
@@ -41,6 +43,10 @@
     retry_allowance: toml::Spanned<f64>,
     #[serde(default = "default_retry_window")]
     retry_window_s: toml::Spanned<f64>,
+    #[serde(default = "default_hedge_ratio")]
+    hedge_ratio: toml::Spanned<f64>,
+    #[serde(default = "default_hedge_quantile")]
+    hedge_quantile: toml::Spanned<f64>,
     #[serde(default = "default_log")]
     log: String,
 }
@@ -78,6 +84,15 @@
     toml::Spanned::new(0..0, 20.0)
 }
 
+/// No hedges.
+fn default_hedge_ratio() -> toml::Spanned<f64> {
+    toml::Spanned::new(0..0, 0.0)
+}
+
+fn default_hedge_quantile() -> toml::Spanned<f64> {
+    toml::Spanned::new(0..0, 0.95)
+}
+
 /// In seconds.
 fn default_retry_window() -> toml::Spanned<f64> {
     toml::Spanned::new(0..0, 10.0)
@@ -116,6 +131,8 @@
     pub descriptor_limit: usize,
     /// The limit on retries over all instances.
     pub retry_limit: RetryLimit,
+    /// The limit on hedged requests of this instance.
+    pub hedge_limit: HedgeLimit,
     /// The log filter.
     pub log: String,
 }
@@ -153,6 +170,15 @@
 /// Valid range of `retry_allowance`.
 const RETRY_ALLOWANCE_BOUNDS: (u64, u64) = (0, 1_000_000);
 
+/// Valid range of `hedge_ratio`.
+const HEDGE_RATIO_BOUNDS: (u64, u64) = (0, 1);
+
+/// Valid range of `hedge_quantile`.
+const HEDGE_QUANTILE_BOUNDS: (u64, u64) = (0, 1);
+
+/// The window in which hedges are counted. It covers the deadlines of most requests.
+const HEDGE_WINDOW: Millis = Millis(10_000);
+
 /// Converts seconds to milliseconds, rounded to the nearest.
 fn millis_from_seconds(seconds: f64) -> Millis {
     Millis((seconds * MS_PER_S).round() as u64)
@@ -205,6 +231,16 @@
             &self.retry_window_s,
             decimal_in_range(RETRY_WINDOW_BOUNDS_S),
         );
+        let hedge_ratio = validator.check(
+            "hedge_ratio",
+            &self.hedge_ratio,
+            decimal_in_range(HEDGE_RATIO_BOUNDS),
+        );
+        let hedge_quantile = validator.check(
+            "hedge_quantile",
+            &self.hedge_quantile,
+            decimal_in_range(HEDGE_QUANTILE_BOUNDS),
+        );
         Some(Settings {
             instance: instance?,
             availability_zone: availability_zone?,
@@ -225,6 +261,11 @@
                 allowance: allowance?,
                 window: millis_from_seconds(window?).max(MIN_RETRY_WINDOW),
             },
+            hedge_limit: HedgeLimit {
+                ratio: hedge_ratio?,
+                quantile: hedge_quantile?,
+                window: HEDGE_WINDOW,
+            },
             log: self.log.clone(),
         })
     }
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -6,9 +6,10 @@
 };
 
 use limpetkeel::{
-    Contact, EvacuationList, Ingress, InstanceName, InstanceRegistry, LockLevel, OrderedMutex,
-    Planner, PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit, RetryWindow, Revision,
-    StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability, UpstreamRegistry,
+    Contact, EvacuationList, Hedging, Ingress, InstanceName, InstanceRegistry, LockLevel,
+    OrderedMutex, Planner, PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit,
+    RetryWindow, Revision, StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability,
+    UpstreamRegistry,
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -153,6 +154,8 @@
     retry_limit: OrderedMutex<RetryLimit>,
     /// Lock order 6 (`LockLevel::Budgets`).
     pub retry_windows: OrderedMutex<collections::BTreeMap<PoolName, RetryWindow>>,
+    /// Lock order 6 (`LockLevel::Budgets`), never locked together with `retry_windows`.
+    pub hedging: OrderedMutex<Hedging>,
     /// Lock order 7 (`LockLevel::UpstreamAvailability`).
     pub availability: OrderedMutex<UpstreamAvailability>,
     /// Lock order 8 (`LockLevel::Connections`).
@@ -205,6 +208,7 @@
             requests: OrderedMutex::new(LockLevel::Requests, Requests::default()),
             retry_limit: OrderedMutex::new(LockLevel::RunOnce, settings.retry_limit),
             retry_windows: OrderedMutex::new(LockLevel::Budgets, collections::BTreeMap::new()),
+            hedging: OrderedMutex::new(LockLevel::Budgets, Hedging::default()),
             availability: OrderedMutex::new(
                 LockLevel::UpstreamAvailability,
                 UpstreamAvailability::default(),
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -23,6 +23,8 @@
     head: http::response::Parts,
     buffer: events::EventBuffer,
     event_received: bool,
+    /// The first event, if it was awaited before the stream is forwarded.
+    first_event: Option<events::Event>,
 }
 
 /// The reason why a stream was not forwarded to its end.
@@ -99,6 +101,7 @@
             head,
             buffer: events::EventBuffer::new(memory),
             event_received: false,
+            first_event: None,
         }
     }
 
@@ -107,6 +110,32 @@
         self.event_received
     }
 
+    /// Returns `true` if the first event has arrived and was not forwarded.
+    pub fn has_first_event(&self) -> bool {
+        self.first_event.is_some()
+    }
+
+    /// Waits for the first event and keeps it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream breaks off before, or begins with an empty event.
+    pub async fn wait_for_first_event(&mut self) -> Result<(), Failure> {
+        loop {
+            if let Some(event) = self.next_event()? {
+                if event.bytes.trim_ascii().is_empty() {
+                    return Err(Failure::NotEvents);
+                }
+                self.first_event = Some(event);
+                return Ok(());
+            }
+            let received = self.response.next().await.map_err(|_| Failure::Broken)?;
+            let bytes = received.ok_or(Failure::Broken)?;
+            let pushed = self.buffer.push(&bytes);
+            pushed.map_err(|MemoryExhausted| Failure::NoMemory)?;
+        }
+    }
+
     /// Forwards events until the stream ends.
     ///
     /// # Errors
@@ -168,6 +197,9 @@
     }
 
     fn next_event(&mut self) -> Result<Option<events::Event>, Failure> {
-        self.buffer.next_event().map_err(Failure::LimitExceeded)
+        match self.first_event.take() {
+            Some(event) => Ok(Some(event)),
+            None => self.buffer.next_event().map_err(Failure::LimitExceeded),
+        }
     }
 }
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -213,12 +213,18 @@
         let (http_address, ready_address) = (free_address()?, free_address()?);
         let (status_address, peer_address) = (free_address()?, free_address()?);
         let settings_path = self.directory.join(format!("node{index}.toml"));
+        let hedging = self
+            .options
+            .hedging
+            .map_or(String::new(), |(ratio, quantile)| {
+                format!("hedge_ratio = {ratio}\nhedge_quantile = {quantile}\n")
+            });
         let settings = format!(
             "instance = \"node{index}\"\navailability_zone = \"z\"\nhttp_listen = \"{http_address}\"\n\
              ready_listen = \"{ready_address}\"\nstatus_listen = \"{status_address}\"\npeer_listen = \"{peer_address}\"\n\
              peer_key = \"a key that all peers share\"\nstore = \"{}\"\nleave_timeout_s = {}\n\
              memory_limit_mb = {}\n\
-             retry_ratio = 0.2\nretry_allowance = 50\nretry_window_s = 10\n",
+             retry_ratio = 0.2\nretry_allowance = 50\nretry_window_s = 10\n{hedging}",
             self.store.addresses[index],
             self.options.drain_timeout.as_secs_f64(),
             self.options.memory_limit_mb,
--- a/standins/src/deployment/options.rs
+++ b/standins/src/deployment/options.rs
@@ -12,6 +12,9 @@
     /// The limit on open descriptors that the processes are started with; `None` for the limit of
     /// the test process.
     pub descriptor_limit: Option<u32>,
+    /// The hedges per request, and the quantile of the response times after which a request is
+    /// hedged. `None` leaves the settings at their defaults.
+    pub hedging: Option<(f64, f64)>,
 }
 
 impl Default for DaemonOptions {
@@ -20,6 +23,7 @@
             drain_timeout: time::Duration::from_secs(7),
             memory_limit_mb: 64.0,
             descriptor_limit: None,
+            hedging: None,
         }
     }
 }
