--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -305,10 +305,10 @@
         let mut begun = self.send(shared, request).await?;
         if let Begun::Stream(stream) = &mut begun {
             let arrival = stream.wait_for_first_event();
-            match tokio::time::timeout_at(response_deadline, arrival).await {
-                Ok(Err(e)) => return Err(stream_failure(e, stream.has_begun())),
-                // A late stream stays open.
-                Ok(Ok(())) | Err(_) => {}
+            let arrived = tokio::time::timeout_at(response_deadline, arrival).await;
+            // A late stream stays open.
+            if let Ok(Err(e)) = arrived {
+                return Err(stream_failure(e, stream.has_begun()));
             }
         }
         Ok(begun)
