Give new connections a grace time before they are closed

A burst of ordinary new callers closed each other's connections while idle reused ones stayed, since a connection without a response was closed first at any age. It now is only once it has been silent for STALLED_AFTER; before that, idle connections that have had a response go first.

--- a/limpetkeel/src/connection_table.rs
+++ b/limpetkeel/src/connection_table.rs
@@ -1,8 +1,10 @@
 //! The connections of callers, and which of them is closed when there are too many.
 //!
 //! A connection that waits for its caller may be closed to make room for another one; a connection
-//! whose request is being served may not, unless its caller does not read the response. Connections that have not had a response yet are closed
-//! first, and among equals the one whose caller has been silent for longest.
+//! whose request is being served may not, unless its caller does not read the response. Connections
+//! that have stalled before their first response are closed first, then idle ones that have had a
+//! response; connections whose request may be on its way come last. Among equals, the one whose
+//! caller has been silent for longest is closed.
 
 use std::{collections, error, fmt};
 
@@ -45,6 +47,19 @@
     }
 }
 
+/// The order in which connections that may be closed are closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ClosingRank {
+    /// No response so far, and silent for [`memory_account::STALLED_AFTER`].
+    StalledUnserved,
+    /// Idle or stalled after a response.
+    IdleServed,
+    /// No response so far, but the request may be on its way.
+    RecentUnserved,
+    /// In the middle of a further request head.
+    RecentServed,
+}
+
 /// A connection of a caller.
 #[derive(Clone, Copy, Debug)]
 struct Connection {
@@ -60,12 +75,27 @@
     fn may_be_closed(&self, now: unit::Timestamp) -> bool {
         match self.phase {
             ConnectionPhase::Idle | ConnectionPhase::Head => true,
-            ConnectionPhase::Body | ConnectionPhase::Unread => {
-                now.since(self.since) >= memory_account::STALLED_AFTER
-            }
+            ConnectionPhase::Body | ConnectionPhase::Unread => self.is_stalled(now),
             ConnectionPhase::Response => false,
         }
     }
+
+    fn is_stalled(&self, now: unit::Timestamp) -> bool {
+        now.since(self.since) >= memory_account::STALLED_AFTER
+    }
+
+    /// Returns the rank by which connections are closed. A caller that has just connected gets time
+    /// to send its request, so that a burst of new callers does not close its own connections while
+    /// idle ones stay.
+    fn closing_rank(&self, now: unit::Timestamp) -> ClosingRank {
+        let is_idle = self.phase == ConnectionPhase::Idle;
+        match (self.served, self.is_stalled(now)) {
+            (false, true) => ClosingRank::StalledUnserved,
+            (true, stalled) if is_idle || stalled => ClosingRank::IdleServed,
+            (false, false) => ClosingRank::RecentUnserved,
+            (true, _) => ClosingRank::RecentServed,
+        }
+    }
 }
 
 /// All connections are being served, so that none can be closed for another one.
@@ -169,7 +199,7 @@
         let candidates = self.connections.iter();
         let first = candidates
             .filter(|(_, connection)| connection.may_be_closed(now))
-            .min_by_key(|(_, connection)| (connection.served, connection.since));
+            .min_by_key(|(_, connection)| (connection.closing_rank(now), connection.since));
         let (id, phase) = first
             .map(|(id, connection)| (*id, connection.phase))
             .ok_or(ConnectionsExhausted)?;
