Announce the end of the connection with refusals before the body

A request with an invalid head, an unknown route or key, or no table was refused as if its connection stayed open, although it is closed since the body is not read. Such a refusal now carries Connection: close, like the refusals of a body.

--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -140,6 +140,9 @@
     exchange.begin(&shared, begun);
     let admitted = admit(&shared, parts, head, incoming, &activity).await;
     activity.connection.begin_response();
+    if admitted.is_err() && activity.has_unread_body() {
+        activity.refuse_body();
+    }
     let closes = activity.refuses_body();
     let mut res = match admitted {
         Ok((request, relayed)) => relay_request(&shared, request, relayed).await,
@@ -199,7 +202,6 @@
     let body = caller_body::receive(shared, incoming, limits, deadline).await;
     let body = body.map_err(|e| {
         record_refusal(shared, e.code(), Some(&head.id));
-        activity.refuse_body();
         body_refusal(e)
     })?;
     activity.end_body();
