Bound the system's buffers of connections to upstreams

While a caller does not read its response, the connection of the upstream fills. The system let its receive buffer grow to several megabytes, which count toward the memory limit of the machine. Both buffers are now fixed at 64 KB.

--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -35,6 +35,13 @@
 /// may stay reserved on an engine without a request.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// The size of the system's receive buffer of a connection, in bytes. Otherwise the system would let
+/// it grow to several megabytes while a caller does not read its response.
+pub const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+
+/// The size of the system's send buffer of a connection, in bytes.
+pub const SEND_BUFFER_BYTES: u32 = 64 * 1024;
+
 /// Maximum size of the read buffer of a connection, in bytes: the heads of one response.
 const MAX_BUFFER_BYTES: usize = limpetkeel::MAX_HEAD.0 as usize;
 
@@ -124,8 +131,8 @@
     ///
     /// Returns [`Error::NotConnected`] if the connection fails or times out.
     pub async fn open(address: net::SocketAddr) -> Result<Connection, Error> {
-        let connecting = tokio::net::TcpStream::connect(address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        let socket = new_socket(address).map_err(|_| Error::NotConnected)?;
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address))
             .await
             .map_err(|_| Error::NotConnected)?
             .map_err(|_| Error::NotConnected)?;
@@ -178,6 +185,21 @@
     }
 }
 
+/// Creates a socket for a connection to an upstream, whose buffers in the system have a fixed size.
+///
+/// # Errors
+///
+/// Returns an error if the socket cannot be created or its options cannot be set.
+pub fn new_socket(address: net::SocketAddr) -> io::Result<tokio::net::TcpSocket> {
+    let socket = match address {
+        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    Ok(socket)
+}
+
 /// Enables TCP keepalive on a connection, so that it breaks when the upstream loses power or
 /// becomes unreachable.
 ///
--- a/limpetkeeld/tests/upstream.rs
+++ b/limpetkeeld/tests/upstream.rs
@@ -30,6 +30,23 @@
     );
 }
 
+/// Guards against a slow caller whose response fills buffers of several megabytes in the system. The
+/// system reports twice the size that was set.
+#[tokio::test]
+async fn the_buffers_of_a_connection_in_the_system_are_bounded() {
+    let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("listener");
+    let address = listener.local_addr().expect("address");
+    let socket = upstream::new_socket(address).expect("socket");
+    let stream = socket.connect(address).await.expect("stream");
+    let socket = socket2::SockRef::from(&stream);
+    let receive_len = socket.recv_buffer_size().expect("option");
+    assert!(receive_len <= 2 * upstream::RECEIVE_BUFFER_BYTES as usize);
+    let send_len = socket.send_buffer_size().expect("option");
+    assert!(send_len <= 2 * upstream::SEND_BUFFER_BYTES as usize);
+}
+
 /// The requests that a redirecting upstream received.
 type ReceivedCount = sync::Arc<sync::atomic::AtomicUsize>;
 
