Refuse requests on connections that were closed for others

A request could begin just as its connection was closed for another one. It was sent to an upstream although its response could not be written. The connection table now says whether the connection is still in it when a request begins and when it is complete; if not, the request is refused as not run, and the connection is closed.

--- a/limpetkeel/src/connection_table.rs
+++ b/limpetkeel/src/connection_table.rs
@@ -241,14 +241,18 @@
         self.enter(id, ConnectionPhase::Response, now);
     }
 
-    /// Records that a request head is complete and its body is awaited.
-    pub fn begin_body(&mut self, id: ConnectionId, now: unit::Timestamp) {
-        self.enter(id, ConnectionPhase::Body, now);
+    /// Records that a request head is complete and its body is awaited. Returns `false` if the
+    /// connection was closed for another one; the request must not run then.
+    #[must_use]
+    pub fn begin_body(&mut self, id: ConnectionId, now: unit::Timestamp) -> bool {
+        self.enter(id, ConnectionPhase::Body, now)
     }
 
-    /// Records that a request is complete or refused and its response is awaited.
-    pub fn begin_response(&mut self, id: ConnectionId, now: unit::Timestamp) {
-        self.enter(id, ConnectionPhase::Response, now);
+    /// Records that a request is complete or refused and its response is awaited. Returns `false` if
+    /// the connection was closed for another one; the request must not run then.
+    #[must_use]
+    pub fn begin_response(&mut self, id: ConnectionId, now: unit::Timestamp) -> bool {
+        self.enter(id, ConnectionPhase::Response, now)
     }
 
     /// Records that a response was written.
@@ -259,11 +263,15 @@
         }
     }
 
-    fn enter(&mut self, id: ConnectionId, phase: ConnectionPhase, now: unit::Timestamp) {
-        if let Some(connection) = self.connections.get_mut(&id) {
+    /// Returns `false` if the connection is closed.
+    fn enter(&mut self, id: ConnectionId, phase: ConnectionPhase, now: unit::Timestamp) -> bool {
+        let connection = self.connections.get_mut(&id);
+        let is_open = connection.is_some();
+        if let Some(connection) = connection {
             connection.phase = phase;
             connection.since = now;
         }
+        is_open
     }
 
     /// Removes a connection that its caller or the instance has closed.
--- a/limpetkeel/tests/connection_table.rs
+++ b/limpetkeel/tests/connection_table.rs
@@ -82,7 +82,7 @@
 fn a_connection_that_is_being_served_is_not_closed() {
     let (mut table, ids) = full_table();
     for id in ids {
-        table.begin_response(id, START);
+        assert!(table.begin_response(id, START));
     }
     let later = Timestamp(1_000_000);
     assert_eq!(table.admit(later), Err(ConnectionsExhausted));
@@ -95,11 +95,11 @@
 fn a_body_is_closed_only_if_it_stalls() {
     let (mut table, ids) = full_table();
     for id in ids {
-        table.begin_body(id, START);
+        assert!(table.begin_body(id, START));
     }
     let stalled_at = START.after(STALLED_AFTER);
     assert!(!table.receive(ids[1], Timestamp(START.0 + 500)));
-    table.begin_response(ids[2], START);
+    assert!(table.begin_response(ids[2], START));
     let closed = table.close_one(stalled_at).expect("connection");
     assert_eq!((closed.id, closed.phase), (ids[0], ConnectionPhase::Body));
     assert_eq!(table.close_one(stalled_at), Err(ConnectionsExhausted));
@@ -121,16 +121,32 @@
     table.remove(ids[2]);
     let admitted = table.admit(START).expect("room");
     assert_eq!(admitted.closed, None);
-    table.begin_body(ids[2], START);
+    assert!(!table.begin_body(ids[2], START));
     assert_eq!(table.phase(ids[2]), None);
 }
 
+/// Guards against running a request whose connection is being closed for another one.
+#[test]
+fn a_request_on_a_closed_connection_does_not_begin() {
+    let (mut table, [first, second, third]) = full_table();
+    assert!(table.begin_body(first, START));
+    assert!(table.begin_body(second, START));
+    assert!(table.begin_response(second, START));
+    let stalled_at = START.after(STALLED_AFTER);
+    for id in [first, third] {
+        assert_eq!(table.close_one(stalled_at).map(|closed| closed.id), Ok(id));
+    }
+    assert!(!table.begin_response(first, stalled_at));
+    assert!(!table.begin_body(third, stalled_at));
+    assert!(table.begin_response(second, stalled_at));
+}
+
 /// Guards against callers that do not read their responses and keep their connections.
 #[test]
 fn a_response_that_is_not_read_may_be_closed() {
     let (mut table, ids) = full_table();
     for id in ids {
-        table.begin_response(id, START);
+        assert!(table.begin_response(id, START));
     }
     table.block_response(ids[0], START);
     table.block_response(ids[1], START);
--- a/limpetkeeld/src/relay/caller_connection.rs
+++ b/limpetkeeld/src/relay/caller_connection.rs
@@ -127,18 +127,22 @@
         self.shared.connections.lock().table.receive(self.id, now)
     }
 
-    /// Records that a request head is complete and its body is awaited.
-    pub fn begin_body(&self) {
+    /// Records that a request head is complete and its body is awaited. Returns `false` if
+    /// the connection was closed for another one; the request must not run then.
+    #[must_use]
+    pub fn begin_body(&self) -> bool {
         let now = self.shared.clock.now();
         let mut connections = self.shared.connections.lock();
-        connections.table.begin_body(self.id, now);
+        connections.table.begin_body(self.id, now)
     }
 
-    /// Records that a request is complete and its response is awaited.
-    pub fn begin_response(&self) {
+    /// Records that a request is complete and its response is awaited. Returns `false` if
+    /// the connection was closed for another one; the request must not run then.
+    #[must_use]
+    pub fn begin_response(&self) -> bool {
         let now = self.shared.clock.now();
         let mut connections = self.shared.connections.lock();
-        connections.table.begin_response(self.id, now);
+        connections.table.begin_response(self.id, now)
     }
 
     /// Records that a response was written.
--- a/limpetkeeld/src/relay/caller_stream.rs
+++ b/limpetkeeld/src/relay/caller_stream.rs
@@ -47,11 +47,13 @@
         }
     }
 
-    /// Records that a request head is complete, and whether a body follows it.
-    pub fn begin_body(&self, has_body: bool) {
+    /// Records that a request head is complete, and whether a body follows it. Returns `false` if the
+    /// connection was closed for another one; the request must not run then.
+    #[must_use]
+    pub fn begin_body(&self, has_body: bool) -> bool {
         self.has_unread_body
             .store(has_body, sync::atomic::Ordering::Relaxed);
-        self.connection.begin_body();
+        self.connection.begin_body()
     }
 
     /// Records that the body has been received completely.
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -106,6 +106,8 @@
         .serve_connection(rt::TokioIo::new(stream), handler);
     tokio::pin!(serving);
     let result = tokio::select! {
+        // A request that has arrived on a connection that is being closed is refused first.
+        biased;
         result = serving.as_mut() => result,
         () = activity.connection.closed() => return,
         () = shared.closing.cancelled() => {
@@ -130,7 +132,7 @@
     req: http::Request<Incoming>,
 ) -> Result<http::Response<caller_stream::TrackedBody>, convert::Infallible> {
     let (parts, incoming) = req.into_parts();
-    activity.begin_body(!incoming.is_end_stream());
+    let is_open = activity.begin_body(!incoming.is_end_stream());
     let head = shared.codec.decode_request(&parts);
     let id = head.as_ref().ok().map(|head| head.id.clone());
     let begun = exchange::Exchange {
@@ -138,8 +140,16 @@
         received: shared.clock.now(),
     };
     exchange.begin(&shared, begun);
-    let admitted = admit(&shared, parts, head, incoming, &activity).await;
-    activity.connection.begin_response();
+    let mut admitted = if is_open {
+        admit(&shared, parts, head, incoming, &activity).await
+    } else {
+        Err(port::Refusal::NotRun(RETRY_AFTER))
+    };
+    if !activity.connection.begin_response() {
+        record_refusal(&shared, "connection_closed", id.as_deref());
+        admitted = Err(port::Refusal::NotRun(RETRY_AFTER));
+        activity.refuse_body();
+    }
     if admitted.is_err() && activity.has_unread_body() {
         activity.refuse_body();
     }
