Do not mark a pipelined request as idle

A request that had arrived before the response to the former one was written was marked as idle when that response was flushed, so that its connection could be closed while the request ran. The former response is now recorded as ended when the next request begins.

--- a/limpetkeeld/src/relay/caller_stream.rs
+++ b/limpetkeeld/src/relay/caller_stream.rs
@@ -51,11 +51,24 @@
     /// connection was closed for another one; the request must not run then.
     #[must_use]
     pub fn begin_body(&self, has_body: bool) -> bool {
+        // The response to a former request on the connection may still be written. Its end must not
+        // mark this request as idle.
+        self.end_flushed_response();
         self.has_unread_body
             .store(has_body, sync::atomic::Ordering::Relaxed);
         self.connection.begin_body()
     }
 
+    /// Records that the response is complete if it has been handed over.
+    fn end_flushed_response(&self) {
+        if self
+            .is_flushing
+            .swap(false, sync::atomic::Ordering::Relaxed)
+        {
+            self.connection.end_response();
+        }
+    }
+
     /// Records that the body has been received completely.
     pub fn end_body(&self) {
         self.has_unread_body
@@ -305,10 +318,7 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let is_flushing = &self.activity.is_flushing;
-        if is_flushing.swap(false, sync::atomic::Ordering::Relaxed) {
-            self.activity.connection.end_response();
-        }
+        self.activity.end_flushed_response();
         pin::Pin::new(&mut self.stream).poll_flush(cx)
     }
 
