Do not refuse heads that have arrived in time as too slow

The timer of a head was checked before the connection was read, so that a head that lay complete in the system got status 408 if the task had not run for a while. It is now checked only when there is nothing to read. The idle time and the time of a head also shared one timer, which cut off a head that began at the end of the idle time; the times now add up.

--- a/limpetkeeld/src/relay/caller_stream.rs
+++ b/limpetkeeld/src/relay/caller_stream.rs
@@ -272,14 +272,16 @@
         cx: &mut task::Context<'_>,
         buf: &mut async_io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        if self.poll_head_timer(cx) {
+        let before = buf.filled().len();
+        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        // The timer is checked only when there is nothing to read: the rest of the head may have
+        // waited in the system while the task did not run.
+        if polled.is_pending() && self.poll_head_timer(cx) {
             self.activity.connection.record_too_slow("head_too_slow");
             // The caller may have closed the connection.
             let _ = self.stream.try_write(HEAD_TOO_SLOW);
             return task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        let before = buf.filled().len();
-        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before && self.activity.connection.receive() {
             let mut timer = Box::pin(time::sleep(self.head_timeout.duration()));
             // The head is likely complete; otherwise the timer wakes the task.
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -30,6 +30,9 @@
     idle_timeout: Millis(15_000),
 };
 
+/// Added to the time that a connection may be idle, for a head that has arrived but was not read.
+const TIMEOUT_MARGIN: Millis = Millis(1_000);
+
 /// Minimum read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -86,6 +89,12 @@
     (limits.max_head.0 as usize).max(MIN_BUFFER_BYTES)
 }
 
+/// Returns the time after which a connection is closed on which no request head is complete since the
+/// last response. It covers a head that begins at the end of the idle time.
+fn head_read_timeout(limits: RequestLimits) -> Millis {
+    limits.idle_timeout + limits.head_timeout + TIMEOUT_MARGIN
+}
+
 /// Serves one caller connection, and closes it gracefully once the instance stops listening.
 async fn serve_connection(
     shared: sync::Arc<shared::Shared>,
@@ -101,7 +110,7 @@
     let stream = caller_stream::CallerStream::new(stream, activity.clone(), limits);
     let serving = http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout).duration())
+        .header_read_timeout(head_read_timeout(limits).duration())
         .max_buf_size(buffer_len(limits))
         .serve_connection(rt::TokioIo::new(stream), handler);
     tokio::pin!(serving);
