Reserve messages of peers in the memory account

The share for messages was never reserved. The relay now reserves the bytes of a message of a peer while it is received and handled, and those of a response until it is decoded. The documentation no longer says that messages of the store are counted.

--- a/limpetkeel/src/memory_account.rs
+++ b/limpetkeel/src/memory_account.rs
@@ -2,8 +2,8 @@
 //!
 //! Whatever callers, upstreams and peers can make an instance hold is reserved here first. Each
 //! [`MemoryShare`] has a guaranteed part, which the others cannot take, and a maximum; what is not
-//! guaranteed to any share is common to all. Messages of peers and of the store are never refused,
-//! since without them the instance could not work; they leave less to the others.
+//! guaranteed to any share is common to all. Messages of peers are never refused, since without
+//! them the instance could not work; they leave less to the others.
 //!
 //! Request bodies that are still being received can be dropped to make room for another one:
 //! stalled bodies before moving ones, and large bodies before small ones.
@@ -40,7 +40,7 @@
     ResponseBodies,
     /// Events that are queued for slow callers, and the buffers that events are read into.
     QueuedEvents,
-    /// Messages of peers and of the store.
+    /// Messages of peers that are being received or handled.
     Messages,
 }
 
--- a/limpetkeeld/src/peer.rs
+++ b/limpetkeeld/src/peer.rs
@@ -11,6 +11,9 @@
 use std::fmt;
 
 use bytes::Bytes;
+use limpetkeel::MemoryShare;
+
+use crate::relay::memory;
 
 /// The version of the peer protocol. A peer with another version is refused, and the error contains
 /// its version.
@@ -86,15 +89,35 @@
     }
 }
 
-async fn receive_message(body: &mut h2::RecvStream, max_bytes: usize) -> Result<Vec<u8>, Error> {
+/// A received message that is not decoded yet, and its memory, which is released on drop.
+struct ReceivedMessage {
+    bytes: Vec<u8>,
+    _memory: Option<memory::Reservation>,
+}
+
+/// Receives a message. Its bytes are reserved in the memory account, if there is one.
+async fn receive_message(
+    body: &mut h2::RecvStream,
+    max_bytes: usize,
+    memory: Option<&memory::Memory>,
+) -> Result<ReceivedMessage, Error> {
     let mut message = Vec::new();
+    // Messages of peers are never refused, so that reserving their bytes does not fail.
+    let mut reservation =
+        memory.and_then(|memory| memory.try_reserve(MemoryShare::Messages, 0).ok());
     while let Some(bytes) = body.data().await {
         let bytes = bytes?;
         let _ = body.flow_control().release_capacity(bytes.len());
         if message.len() + bytes.len() > max_bytes {
             return Err(Error::Malformed);
         }
+        if let Some(reservation) = &mut reservation {
+            let _ = reservation.try_grow(bytes.len());
+        }
         message.extend_from_slice(&bytes);
     }
-    Ok(message)
+    Ok(ReceivedMessage {
+        bytes: message,
+        _memory: reservation,
+    })
 }
--- a/limpetkeeld/src/peer/client.rs
+++ b/limpetkeeld/src/peer/client.rs
@@ -8,6 +8,7 @@
 use crate::{
     counting_stream, metrics,
     peer::{self, handshake, message},
+    relay::memory,
 };
 
 /// The timeout for establishing a link, including the handshake.
@@ -34,11 +35,12 @@
 #[derive(Clone)]
 struct Link<S> {
     sender: Sender,
+    memory: Option<memory::Memory>,
     state: S,
 }
 
 impl<S> Link<S> {
-    async fn request(&self, path: &str, body: Bytes) -> Result<Vec<u8>, peer::Error> {
+    async fn request(&self, path: &str, body: Bytes) -> Result<peer::ReceivedMessage, peer::Error> {
         let mut sender = self.sender.clone().ready().await?;
         let req = http::Request::post(format!("http://peer{path}"))
             .body(())
@@ -49,7 +51,9 @@
         if res.status() == http::StatusCode::FORBIDDEN {
             return Err(peer::Error::Unauthenticated);
         }
-        peer::receive_message(&mut res.into_body(), peer::MAX_MESSAGE_BYTES).await
+        let mut body = res.into_body();
+        let memory = self.memory.as_ref();
+        peer::receive_message(&mut body, peer::MAX_MESSAGE_BYTES, memory).await
     }
 }
 
@@ -61,7 +65,7 @@
             nonce: client,
         };
         let welcome = self.request("/hello", peer::encode(&hello)?).await?;
-        let welcome: handshake::Welcome = peer::decode(&welcome)?;
+        let welcome: handshake::Welcome = peer::decode(&welcome.bytes)?;
         if welcome.version != peer::VERSION {
             return Err(peer::Error::Version(welcome.version));
         }
@@ -76,6 +80,7 @@
             .await?;
         Ok(Link {
             sender: self.sender,
+            memory: self.memory,
             state: Authenticated,
         })
     }
@@ -83,7 +88,8 @@
 
 impl Link<Authenticated> {
     async fn call(&self, req: &message::Request) -> Result<message::Response, peer::Error> {
-        peer::decode(&self.request("/message", peer::encode(req)?).await?)
+        let response = self.request("/message", peer::encode(req)?).await?;
+        peer::decode(&response.bytes)
     }
 }
 
@@ -94,6 +100,7 @@
     key: sync::Arc<[u8]>,
     source: net::IpAddr,
     metrics: sync::Arc<metrics::Metrics>,
+    memory: Option<memory::Memory>,
     slots: parking_lot::Mutex<collections::HashMap<net::SocketAddr, LinkSlot>>,
 }
 
@@ -104,10 +111,20 @@
             key: key.into(),
             source,
             metrics,
+            memory: None,
             slots: parking_lot::Mutex::default(),
         }
     }
 
+    /// Reserves received messages in a memory account.
+    #[must_use]
+    pub fn with_memory(self, memory: memory::Memory) -> PeerLinks {
+        PeerLinks {
+            memory: Some(memory),
+            ..self
+        }
+    }
+
     /// Sends a message and waits for its response.
     ///
     /// # Errors
@@ -184,6 +201,7 @@
             }
             let link = Link {
                 sender,
+                memory: self.memory.clone(),
                 state: Unauthenticated {
                     key: self.key.clone(),
                 },
--- a/limpetkeeld/src/peer/server.rs
+++ b/limpetkeeld/src/peer/server.rs
@@ -8,6 +8,7 @@
 use crate::{
     counting_stream, listener, metrics,
     peer::{self, handshake, message},
+    relay::memory,
 };
 
 /// The time allowed to send a refusal before the connection is closed.
@@ -20,6 +21,11 @@
 pub trait RequestHandler: Send + Sync + 'static {
     /// Handles a message and returns its response.
     fn handle(&self, req: message::Request) -> impl Future<Output = message::Response> + Send;
+
+    /// Returns the memory account in which received messages are reserved, if there is one.
+    fn memory(&self) -> Option<&memory::Memory> {
+        None
+    }
 }
 
 /// The state of a link whose client has not sent its nonce.
@@ -56,13 +62,13 @@
 
     async fn accept_body(
         &mut self,
-    ) -> Result<(Vec<u8>, h2::server::SendResponse<Bytes>), peer::Error> {
+    ) -> Result<(peer::ReceivedMessage, h2::server::SendResponse<Bytes>), peer::Error> {
         let (req, respond) = self.accept().await?;
         let mut body = req.into_body();
         // The body arrives only while the connection is polled. A second stream before the
         // handshake is complete is a protocol error.
         let message = tokio::select! {
-            message = peer::receive_message(&mut body, peer::MAX_HANDSHAKE_BYTES) => message?,
+            message = peer::receive_message(&mut body, peer::MAX_HANDSHAKE_BYTES, None) => message?,
             _ = self.connection.accept() => return Err(peer::Error::Malformed),
         };
         Ok((message, respond))
@@ -72,7 +78,7 @@
 impl Link<AwaitingHello> {
     async fn challenge(mut self, key: &[u8]) -> Result<Link<AwaitingProof>, peer::Error> {
         let (hello, respond) = self.accept_body().await?;
-        let hello: handshake::Hello = peer::decode(&hello)?;
+        let hello: handshake::Hello = peer::decode(&hello.bytes)?;
         let nonces = handshake::Nonces {
             client: hello.nonce,
             server: rand::random(),
@@ -97,7 +103,7 @@
 impl Link<AwaitingProof> {
     async fn verify_proof(mut self, key: &[u8]) -> Result<Link<Authenticated>, peer::Error> {
         let (proof, respond) = self.accept_body().await?;
-        let proof: handshake::Proof = peer::decode(&proof)?;
+        let proof: handshake::Proof = peer::decode(&proof.bytes)?;
         let verified =
             handshake::verify_code(key, handshake::Side::Client, self.state.nonces, &proof.code);
         let status = if verified.is_ok() {
@@ -139,8 +145,11 @@
 
 async fn handle_stream<H: RequestHandler>(stream: Stream, handler: &H) -> Result<(), peer::Error> {
     let (req, mut respond) = stream;
-    let message = peer::receive_message(&mut req.into_body(), peer::MAX_MESSAGE_BYTES).await?;
-    let message = peer::decode(&message)?;
+    let mut body = req.into_body();
+    // The reservation is held until the message has been handled.
+    let received =
+        peer::receive_message(&mut body, peer::MAX_MESSAGE_BYTES, handler.memory()).await?;
+    let message = peer::decode(&received.bytes)?;
     let response = tokio::select! {
         response = handler.handle(message) => response,
         // The peer has cancelled the stream; dropping the future cancels the work.
--- a/limpetkeeld/src/relay/peer_handler.rs
+++ b/limpetkeeld/src/relay/peer_handler.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     peer::{message, server},
-    relay::{freshness, planning, shared, store_updates, store_watch},
+    relay::{freshness, memory, planning, shared, store_updates, store_watch},
 };
 
 /// Serves peer requests from the shared tables.
@@ -22,6 +22,10 @@
 }
 
 impl server::RequestHandler for PeerHandler {
+    fn memory(&self) -> Option<&memory::Memory> {
+        Some(&self.shared.memory)
+    }
+
     async fn handle(&self, req: message::Request) -> message::Response {
         match req {
             message::Request::RequestPlan(plan_request, requester) => {
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -184,11 +184,13 @@
             ),
         };
         let source = settings.peer_listen.ip();
+        let memory = memory::Memory::new(settings.memory_limit);
+        let peers = peer::client::PeerLinks::new(&settings.peer_key, source, metrics.clone());
         Shared {
             clock: clock::Clock::start(),
             codec,
             store,
-            peers: peer::client::PeerLinks::new(&settings.peer_key, source, metrics.clone()),
+            peers: peers.with_memory(memory.clone()),
             metrics,
             jobs,
             changed: Notify::new(),
@@ -217,7 +219,7 @@
                         .min(process_limit::open_descriptors() as usize),
                 ),
             ),
-            memory: memory::Memory::new(settings.memory_limit),
+            memory,
             settings,
         }
     }
--- a/limpetkeeld/tests/peer.rs
+++ b/limpetkeeld/tests/peer.rs
@@ -2,14 +2,33 @@
 
 use std::{net, sync, time};
 
-use limpetkeel::{Contact, Digest, Era, Heartbeat, Revision};
+use limpetkeel::{Contact, Digest, Era, Heartbeat, MemoryShare, Revision};
 use limpetkeeld::{
     metrics,
     peer::{self, client, message, server},
+    relay::memory::Memory,
 };
 
 struct Echo;
 
+/// Responds with the bytes that are reserved for messages, as the number of a revision.
+struct ReservedBytes(Memory);
+
+impl server::RequestHandler for ReservedBytes {
+    async fn handle(&self, _: message::Request) -> message::Response {
+        let reserved = self.0.reserved(MemoryShare::Messages);
+        message::Response::Gossip(message::GossipReply {
+            digests: Vec::new(),
+            unknown: Vec::new(),
+            revision: Revision::new(Era(1), reserved.0),
+        })
+    }
+
+    fn memory(&self) -> Option<&Memory> {
+        Some(&self.0)
+    }
+}
+
 impl server::RequestHandler for Echo {
     async fn handle(&self, req: message::Request) -> message::Response {
         match req {
@@ -31,12 +50,18 @@
 }
 
 async fn listen() -> (net::SocketAddr, sync::Arc<metrics::Metrics>) {
+    listen_with(Echo).await
+}
+
+async fn listen_with<H: server::RequestHandler>(
+    handler: H,
+) -> (net::SocketAddr, sync::Arc<metrics::Metrics>) {
     let probe = net::TcpListener::bind("127.0.0.1:0").expect("port");
     let address = probe.local_addr().expect("address");
     drop(probe);
     let metrics = metrics();
-    let (server_metrics, echo) = (metrics.clone(), sync::Arc::new(Echo));
-    tokio::spawn(async move { server::listen(address, KEY, server_metrics, echo).await });
+    let (server_metrics, handler) = (metrics.clone(), sync::Arc::new(handler));
+    tokio::spawn(async move { server::listen(address, KEY, server_metrics, handler).await });
     (address, metrics)
 }
 
@@ -89,6 +114,25 @@
     );
 }
 
+/// Guards against messages that are not counted, or counted after they have been handled.
+#[tokio::test(flavor = "multi_thread")]
+async fn received_messages_are_reserved_while_they_are_handled() {
+    let memory = Memory::new(limpetkeel::Bytes(112 << 20));
+    let (address, _) = listen_with(ReservedBytes(memory.clone())).await;
+    let response = call(&peer_links(KEY), address, &gossip(100)).await;
+    let Ok(message::Response::Gossip(reply)) = response else {
+        panic!("{response:?}")
+    };
+    assert!(reply.revision > Revision::new(Era(1), 0));
+    let released = async {
+        while memory.reserved(MemoryShare::Messages) > limpetkeel::Bytes::ZERO {
+            tokio::time::sleep(time::Duration::from_millis(1)).await;
+        }
+    };
+    let released = tokio::time::timeout(TIMEOUT, released).await;
+    assert!(released.is_ok(), "the message stays reserved");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn peer_with_another_key_is_refused() {
     let (address, _) = listen().await;
