--- a/limpetkeel/src/lock.rs
+++ b/limpetkeel/src/lock.rs
@@ -20,7 +20,7 @@
     Requests = 4,
     /// The run-once updates that wait for a write to the store.
     RunOnce = 5,
-    /// The byte budget of queued request bodies and the retry budgets.
+    /// The retry budgets and, where there is no memory account, the byte budget of request bodies.
     Budgets = 6,
     /// The upstreams that accept no requests from this instance.
     UpstreamAvailability = 7,
