Accept heads inside their limit whatever the number of their lines

The HTTP library refused a request with more than 100 header lines with status 431, although its head was inside max_header_bytes. The bound now follows from the limit on the bytes. Since a short line takes far more memory than its text, lines beyond 100 are reserved in the memory account until the request ends; without room the request is refused as not run.

--- a/limpetkeeld/src/relay/caller_request.rs
+++ b/limpetkeeld/src/relay/caller_request.rs
@@ -3,7 +3,7 @@
 use limpetkeel::{Admission, CrashCause, Millis, RequestId};
 use xxhash_rust::xxh3;
 
-use crate::relay::{caller_body, port};
+use crate::relay::{caller_body, memory, port};
 
 /// A caller's request, kept until it completes.
 pub struct CallerRequest {
@@ -11,6 +11,8 @@
     pub head: port::RequestHead,
     /// The request head as received.
     pub parts: http::request::Parts,
+    /// The memory of the header lines.
+    pub head_memory: memory::Reservation,
     /// The request body.
     pub body: caller_body::BufferedBody,
     /// The matched route and workspace.
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -10,7 +10,8 @@
 };
 use hyper_util::rt;
 use limpetkeel::{
-    Denial, Millis, RelayedRequest, RelayedRequestInfo, RequestId, RequestLimits, Routed, Timestamp,
+    Denial, MemoryExhausted, MemoryShare, Millis, RelayedRequest, RelayedRequestInfo, RequestId,
+    RequestLimits, Routed, Timestamp,
 };
 use tokio::sync::oneshot;
 
@@ -18,7 +19,7 @@
     listener,
     relay::{
         body, caller_body, caller_connection, caller_request, caller_stream, drain, drive,
-        exchange, port, response_writer, shared, task,
+        exchange, memory, port, response_writer, shared, task,
     },
 };
 
@@ -36,6 +37,16 @@
 /// Minimum read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Length of the shortest header line: a name of one character, the colon and the line end.
+const MIN_HEADER_LINE_BYTES: usize = 4;
+
+/// Header lines whose memory is part of the state of a connection.
+const MAX_UNRESERVED_LINES: usize = 100;
+
+/// Memory of a header line beside its text, in bytes: its entry in the map of headers, which grows
+/// by doubling, and in the copy that is sent to an upstream.
+const HEADER_LINE_MEMORY_BYTES: usize = 512;
+
 /// Retry delay sent with a not-run refusal at admission, such as before the first routing table
 /// arrives or when there is no memory for the body.
 const RETRY_AFTER: Millis = Millis(300);
@@ -112,6 +123,7 @@
         .timer(rt::TokioTimer::new())
         .header_read_timeout(head_read_timeout(limits).duration())
         .max_buf_size(buffer_len(limits))
+        .max_headers(buffer_len(limits) / MIN_HEADER_LINE_BYTES)
         .serve_connection(rt::TokioIo::new(stream), handler);
     tokio::pin!(serving);
     let result = tokio::select! {
@@ -184,6 +196,16 @@
     res.map(|()| body::complete(Bytes::new()))
 }
 
+/// Reserves the memory of many header lines, which may take far more than their text.
+fn reserve_header_lines(
+    shared: &shared::Shared,
+    headers: &http::HeaderMap,
+) -> Result<memory::Reservation, MemoryExhausted> {
+    let lines = headers.len().saturating_sub(MAX_UNRESERVED_LINES);
+    let len = lines * HEADER_LINE_MEMORY_BYTES;
+    shared.memory.try_reserve(MemoryShare::RequestHeads, len)
+}
+
 /// Matches a request to its route and reads its body.
 async fn admit(
     shared: &sync::Arc<shared::Shared>,
@@ -197,6 +219,10 @@
         record_refusal(shared, e.code(), None);
         port::Refusal::InvalidHead
     })?;
+    let head_memory = reserve_header_lines(shared, &parts.headers).map_err(|MemoryExhausted| {
+        record_refusal(shared, "no_memory", Some(&head.id));
+        port::Refusal::NotRun(RETRY_AFTER)
+    })?;
     let path = parts.uri.path();
     let (admitted, limits, version) = {
         let ingress = &shared.tables.lock().ingress;
@@ -245,6 +271,7 @@
         own_cause: caller_request::own_cause(&head, &parts, &body.bytes),
         head,
         parts,
+        head_memory,
         body,
         admission,
         version,
--- a/standins/tests/refused_bodies.rs
+++ b/standins/tests/request_heads.rs
@@ -1,4 +1,4 @@
-//! Refusals of requests whose bodies are not read.
+//! Request heads: their limits, and refusals of requests whose bodies are not read.
 
 use standins::deployment::{crowd, daemon::Deployment};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -21,6 +21,16 @@
     String::from_utf8_lossy(&received).to_lowercase()
 }
 
+/// Guards against refusing a head inside the limit on its bytes for the number of its lines.
+#[tokio::test]
+async fn a_head_of_many_lines_is_not_refused_for_their_number() {
+    let deployment = Deployment::start(1, 1).await.expect("deployment");
+    let lines = "x: y\r\n".repeat(2_000);
+    let framing = format!("{lines}content-length: 0");
+    let head = response_head(&deployment, "/nowhere/x", &framing).await;
+    assert!(head.starts_with("http/1.1 404"), "{head}");
+}
+
 /// Guards against announcing that a connection stays open that is closed since the body was not
 /// read.
 #[tokio::test]
