--- a/limpetkeel/src/lock.rs
+++ b/limpetkeel/src/lock.rs
@@ -20,7 +20,8 @@
     Requests = 4,
     /// The run-once updates that wait for a write to the store.
     RunOnce = 5,
-    /// The byte budget of queued request bodies, the retry budgets and the hedges.
+    /// The retry budgets and the hedges and, where there is no memory account, the byte budget of
+    /// request bodies.
     Budgets = 6,
     /// The upstreams that accept no requests from this instance.
     UpstreamAvailability = 7,
--- a/limpetkeeld/src/relay/caller_stream.rs
+++ b/limpetkeeld/src/relay/caller_stream.rs
@@ -47,11 +47,26 @@
         }
     }
 
-    /// Records that a request head is complete, and whether a body follows it.
-    pub fn begin_body(&self, has_body: bool) {
+    /// Records that a request head is complete, and whether a body follows it. Returns `false` if the
+    /// connection was closed for another one; the request must not run then.
+    #[must_use]
+    pub fn begin_body(&self, has_body: bool) -> bool {
+        // The response to a former request on the connection may still be written. Its end must not
+        // mark this request as idle.
+        self.end_flushed_response();
         self.has_unread_body
             .store(has_body, sync::atomic::Ordering::Relaxed);
-        self.connection.begin_body();
+        self.connection.begin_body()
+    }
+
+    /// Records that the response is complete if it has been handed over.
+    fn end_flushed_response(&self) {
+        if self
+            .is_flushing
+            .swap(false, sync::atomic::Ordering::Relaxed)
+        {
+            self.connection.end_response();
+        }
     }
 
     /// Records that the body has been received completely.
@@ -257,14 +272,16 @@
         cx: &mut task::Context<'_>,
         buf: &mut async_io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        if self.poll_head_timer(cx) {
+        let before = buf.filled().len();
+        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        // The timer is checked only when there is nothing to read: the rest of the head may have
+        // waited in the system while the task did not run.
+        if polled.is_pending() && self.poll_head_timer(cx) {
             self.activity.connection.record_too_slow("head_too_slow");
             // The caller may have closed the connection.
             let _ = self.stream.try_write(HEAD_TOO_SLOW);
             return task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        let before = buf.filled().len();
-        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before && self.activity.connection.receive() {
             let mut timer = Box::pin(time::sleep(self.head_timeout.duration()));
             // The head is likely complete; otherwise the timer wakes the task.
@@ -303,10 +320,7 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let is_flushing = &self.activity.is_flushing;
-        if is_flushing.swap(false, sync::atomic::Ordering::Relaxed) {
-            self.activity.connection.end_response();
-        }
+        self.activity.end_flushed_response();
         pin::Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -10,7 +10,8 @@
 };
 use hyper_util::rt;
 use limpetkeel::{
-    Denial, Millis, RelayedRequest, RelayedRequestInfo, RequestId, RequestLimits, Routed, Timestamp,
+    Denial, MemoryExhausted, MemoryShare, Millis, RelayedRequest, RelayedRequestInfo, RequestId,
+    RequestLimits, Routed, Timestamp,
 };
 use tokio::sync::oneshot;
 
@@ -18,7 +19,7 @@
     listener,
     relay::{
         body, caller_body, caller_connection, caller_request, caller_stream, drain, drive,
-        exchange, port, response_writer, shared, task,
+        exchange, memory, port, response_writer, shared, task,
     },
 };
 
@@ -30,9 +31,22 @@
     idle_timeout: Millis(15_000),
 };
 
+/// Added to the time that a connection may be idle, for a head that has arrived but was not read.
+const TIMEOUT_MARGIN: Millis = Millis(1_000);
+
 /// Minimum read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Length of the shortest header line: a name of one character, the colon and the line end.
+const MIN_HEADER_LINE_BYTES: usize = 4;
+
+/// Header lines whose memory is part of the state of a connection.
+const MAX_UNRESERVED_LINES: usize = 100;
+
+/// Memory of a header line beside its text, in bytes: its entry in the map of headers, which grows
+/// by doubling, and in the copy that is sent to an upstream.
+const HEADER_LINE_MEMORY_BYTES: usize = 512;
+
 /// Retry delay sent with a not-run refusal at admission, such as before the first routing table
 /// arrives or when there is no memory for the body.
 const RETRY_AFTER: Millis = Millis(300);
@@ -86,6 +100,12 @@
     (limits.max_head.0 as usize).max(MIN_BUFFER_BYTES)
 }
 
+/// Returns the time after which a connection is closed on which no request head is complete since the
+/// last response. It covers a head that begins at the end of the idle time.
+fn head_read_timeout(limits: RequestLimits) -> Millis {
+    limits.idle_timeout + limits.head_timeout + TIMEOUT_MARGIN
+}
+
 /// Serves one caller connection, and closes it gracefully once the instance stops listening.
 async fn serve_connection(
     shared: sync::Arc<shared::Shared>,
@@ -101,11 +121,14 @@
     let stream = caller_stream::CallerStream::new(stream, activity.clone(), limits);
     let serving = http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout).duration())
+        .header_read_timeout(head_read_timeout(limits).duration())
         .max_buf_size(buffer_len(limits))
+        .max_headers(buffer_len(limits) / MIN_HEADER_LINE_BYTES)
         .serve_connection(rt::TokioIo::new(stream), handler);
     tokio::pin!(serving);
     let result = tokio::select! {
+        // A request that has arrived on a connection that is being closed is refused first.
+        biased;
         result = serving.as_mut() => result,
         () = activity.connection.closed() => return,
         () = shared.closing.cancelled() => {
@@ -130,7 +153,7 @@
     req: http::Request<Incoming>,
 ) -> Result<http::Response<caller_stream::TrackedBody>, convert::Infallible> {
     let (parts, incoming) = req.into_parts();
-    activity.begin_body(!incoming.is_end_stream());
+    let is_open = activity.begin_body(!incoming.is_end_stream());
     let head = shared.codec.decode_request(&parts);
     let id = head.as_ref().ok().map(|head| head.id.clone());
     let begun = exchange::Exchange {
@@ -138,8 +161,19 @@
         received: shared.clock.now(),
     };
     exchange.begin(&shared, begun);
-    let admitted = admit(&shared, parts, head, incoming, &activity).await;
-    activity.connection.begin_response();
+    let mut admitted = if is_open {
+        admit(&shared, parts, head, incoming, &activity).await
+    } else {
+        Err(port::Refusal::NotRun(RETRY_AFTER))
+    };
+    if !activity.connection.begin_response() {
+        record_refusal(&shared, "connection_closed", id.as_deref());
+        admitted = Err(port::Refusal::NotRun(RETRY_AFTER));
+        activity.refuse_body();
+    }
+    if admitted.is_err() && activity.has_unread_body() {
+        activity.refuse_body();
+    }
     let closes = activity.refuses_body();
     let mut res = match admitted {
         Ok((request, relayed)) => relay_request(&shared, request, relayed).await,
@@ -162,6 +196,16 @@
     res.map(|()| body::complete(Bytes::new()))
 }
 
+/// Reserves the memory of many header lines, which may take far more than their text.
+fn reserve_header_lines(
+    shared: &shared::Shared,
+    headers: &http::HeaderMap,
+) -> Result<memory::Reservation, MemoryExhausted> {
+    let lines = headers.len().saturating_sub(MAX_UNRESERVED_LINES);
+    let len = lines * HEADER_LINE_MEMORY_BYTES;
+    shared.memory.try_reserve(MemoryShare::RequestHeads, len)
+}
+
 /// Matches a request to its route and reads its body.
 async fn admit(
     shared: &sync::Arc<shared::Shared>,
@@ -175,6 +219,10 @@
         record_refusal(shared, e.code(), None);
         port::Refusal::InvalidHead
     })?;
+    let head_memory = reserve_header_lines(shared, &parts.headers).map_err(|MemoryExhausted| {
+        record_refusal(shared, "no_memory", Some(&head.id));
+        port::Refusal::NotRun(RETRY_AFTER)
+    })?;
     let path = parts.uri.path();
     let (admitted, limits, version) = {
         let ingress = &shared.tables.lock().ingress;
@@ -199,7 +247,6 @@
     let body = caller_body::receive(shared, incoming, limits, deadline).await;
     let body = body.map_err(|e| {
         record_refusal(shared, e.code(), Some(&head.id));
-        activity.refuse_body();
         body_refusal(e)
     })?;
     activity.end_body();
@@ -224,6 +271,7 @@
         own_cause: caller_request::own_cause(&head, &parts, &body.bytes),
         head,
         parts,
+        head_memory,
         body,
         admission,
         version,
