--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -197,16 +197,22 @@
     let reserving = reservations::HelperGroup::reserve(shared, plan.id, &plan.helpers);
     let connecting = upstream::Connection::open(plan.lead.address);
     let (group, connection) = tokio::join!(reserving, connecting);
-    let failure = |at_fault, attempt_result| PreparationFailure::Unusable {
-        at_fault,
-        attempt_result,
-        reason: "not_connected",
-    };
-    let connection =
-        connection.map_err(|_| failure(plan.lead.upstream.clone(), AttemptResult::Unreachable))?;
+    let connection = connection.map_err(|e| PreparationFailure::Unusable {
+        at_fault: plan.lead.upstream.clone(),
+        attempt_result: AttemptResult::Unreachable,
+        reason: e.code(),
+    })?;
     let group = group.map_err(|e| match e {
-        reservations::Error::Refused(name) => failure(name, AttemptResult::Declined),
-        reservations::Error::NoResponse(name) => failure(name, AttemptResult::Unreachable),
+        reservations::Error::Refused(at_fault) => PreparationFailure::Unusable {
+            at_fault,
+            attempt_result: AttemptResult::Declined,
+            reason: "not_reserved",
+        },
+        reservations::Error::NoResponse(at_fault) => PreparationFailure::Unusable {
+            at_fault,
+            attempt_result: AttemptResult::Unreachable,
+            reason: "reservation_unanswered",
+        },
     })?;
     check_tables(shared, pool, plan, &mut processes)?;
     check_available(shared, plan)?;
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -48,11 +48,45 @@
 /// The media type of event streams.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
+/// The reason why a connection to an upstream could not be established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectError {
+    /// The connection was refused or reset.
+    Refused,
+    /// The connection was not established in time.
+    TimedOut,
+    /// The upstream is unreachable, or the instance has no socket for the connection.
+    Failed,
+}
+
+impl ConnectError {
+    /// Returns the code used in metrics and logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            ConnectError::Refused => "connect_refused",
+            ConnectError::TimedOut => "connect_timed_out",
+            ConnectError::Failed => "connect_failed",
+        }
+    }
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(e: io::Error) -> ConnectError {
+        match e.kind() {
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
+                ConnectError::Refused
+            }
+            io::ErrorKind::TimedOut => ConnectError::TimedOut,
+            _ => ConnectError::Failed,
+        }
+    }
+}
+
 /// Errors of a request to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
     /// The connection could not be established, so nothing was sent.
-    NotConnected,
+    NotConnected(ConnectError),
     /// The connection broke.
     Broken,
     /// The response is not valid HTTP.
@@ -129,21 +163,20 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::NotConnected`] if the connection fails or times out.
-    pub async fn open(address: net::SocketAddr) -> Result<Connection, Error> {
-        let socket = new_socket(address).map_err(|_| Error::NotConnected)?;
+    /// Returns the reason why the connection could not be established. Nothing was sent.
+    pub async fn open(address: net::SocketAddr) -> Result<Connection, ConnectError> {
+        let socket = new_socket(address)?;
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address))
             .await
-            .map_err(|_| Error::NotConnected)?
-            .map_err(|_| Error::NotConnected)?;
-        stream.set_nodelay(true).map_err(|_| Error::NotConnected)?;
-        enable_keepalive(&stream).map_err(|_| Error::NotConnected)?;
+            .map_err(|_| ConnectError::TimedOut)??;
+        stream.set_nodelay(true)?;
+        enable_keepalive(&stream)?;
         let stream = bounded_stream::BoundedStream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(rt::TokioIo::new(stream))
             .await
-            .map_err(|_| Error::NotConnected)?;
+            .map_err(|_| ConnectError::Failed)?;
         let driver = task::AbortOnDrop::spawn(async move {
             // An error also fails the request that is waiting on this connection.
             let _ = connection.await;
@@ -224,7 +257,9 @@
     req: http::Request<Bytes>,
 ) -> Result<http::StatusCode, Error> {
     let response = async {
-        let connection = Connection::open(address).await?;
+        let connection = Connection::open(address)
+            .await
+            .map_err(Error::NotConnected)?;
         Ok(connection.send(req).await?.head.status)
     };
     let result = tokio::time::timeout(ORDER_TIMEOUT, response).await;
