Connect to upstreams from the instance's own address

Cause: connections to upstreams came from whatever address the system chose, so that neither an upstream's log nor a stand-in could tell the instances of one host apart. Change: they are bound to the address of the peer protocol, as connections to peers and those of the daemon are. The instances of a test deployment have one address each.

--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -195,7 +195,7 @@
     check_tables(shared, pool, plan, &mut processes)?;
     check_available(shared, plan)?;
     let reserving = reservations::HelperGroup::reserve(shared, plan.id, &plan.helpers);
-    let connecting = upstream::Connection::open(plan.lead.address);
+    let connecting = upstream::Connection::open(shared.settings.source(), plan.lead.address);
     let (group, connection) = tokio::join!(reserving, connecting);
     let connection = connection.map_err(|e| PreparationFailure::Unusable {
         at_fault: plan.lead.upstream.clone(),
--- a/limpetkeeld/src/relay/reservations.rs
+++ b/limpetkeeld/src/relay/reservations.rs
@@ -112,7 +112,9 @@
                 let req = shared
                     .codec
                     .encode_release(reservation.address, &reservation.id);
-                if let Err(e) = upstream::send_order(reservation.address, req).await {
+                if let Err(e) =
+                    upstream::send_order(shared.settings.source(), reservation.address, req).await
+                {
                     // The reservation expires by itself.
                     tracing::info!(event = "release_unanswered", reservation = %reservation.id.0, error = ?e);
                 }
@@ -133,7 +135,7 @@
         reservation.tokens,
         RESERVATION_LIFETIME,
     );
-    let status = upstream::send_order(reservation.address, req).await;
+    let status = upstream::send_order(shared.settings.source(), reservation.address, req).await;
     let reserved = status.map(|status| codec.decode_reserve(status));
     let label = match &reserved {
         Ok(port::ReservationStatus::Reserved) => "held",
--- a/limpetkeeld/src/relay/settings.rs
+++ b/limpetkeeld/src/relay/settings.rs
@@ -137,6 +137,13 @@
     pub log: String,
 }
 
+impl Settings {
+    /// Returns the address from which the instance connects to peers and upstreams.
+    pub fn source(&self) -> net::IpAddr {
+        self.peer_listen.ip()
+    }
+}
+
 /// Valid range of `processor_share`, in cores.
 const PROCESSOR_SHARE_BOUNDS: (u64, u64) = (0, 1_024);
 
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -186,7 +186,7 @@
                 settings.availability_zone.clone(),
             ),
         };
-        let source = settings.peer_listen.ip();
+        let source = settings.source();
         let memory = memory::Memory::new(settings.memory_limit);
         let peers = peer::client::PeerLinks::new(&settings.peer_key, source, metrics.clone());
         Shared {
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -159,13 +159,16 @@
 }
 
 impl Connection {
-    /// Connects to an upstream and enables TCP keepalive.
+    /// Connects from `source` to an upstream and enables TCP keepalive.
     ///
     /// # Errors
     ///
     /// Returns the reason why the connection could not be established. Nothing was sent.
-    pub async fn open(address: net::SocketAddr) -> Result<Connection, ConnectError> {
-        let socket = new_socket(address)?;
+    pub async fn open(
+        source: net::IpAddr,
+        address: net::SocketAddr,
+    ) -> Result<Connection, ConnectError> {
+        let socket = new_socket(source, address)?;
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address))
             .await
             .map_err(|_| ConnectError::TimedOut)??;
@@ -218,18 +221,25 @@
     }
 }
 
-/// Creates a socket for a connection to an upstream, whose buffers in the system have a fixed size.
+/// Creates a socket for a connection from `source` to an upstream, whose buffers in the system have
+/// a fixed size. A source of another address family is ignored.
 ///
 /// # Errors
 ///
-/// Returns an error if the socket cannot be created or its options cannot be set.
-pub fn new_socket(address: net::SocketAddr) -> io::Result<tokio::net::TcpSocket> {
+/// Returns an error if the socket cannot be created or bound, or its options cannot be set.
+pub fn new_socket(
+    source: net::IpAddr,
+    address: net::SocketAddr,
+) -> io::Result<tokio::net::TcpSocket> {
     let socket = match address {
         net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
         net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
     };
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    if source.is_ipv4() == address.is_ipv4() {
+        socket.bind(net::SocketAddr::new(source, 0))?;
+    }
     Ok(socket)
 }
 
@@ -247,17 +257,18 @@
     socket2::SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
-/// Sends an order and returns the status of the response.
+/// Sends an order from `source` and returns the status of the response.
 ///
 /// # Errors
 ///
 /// Returns an error if no response arrives. The order may have been accepted, or may still be.
 pub async fn send_order(
+    source: net::IpAddr,
     address: net::SocketAddr,
     req: http::Request<Bytes>,
 ) -> Result<http::StatusCode, Error> {
     let response = async {
-        let connection = Connection::open(address)
+        let connection = Connection::open(source, address)
             .await
             .map_err(Error::NotConnected)?;
         Ok(connection.send(req).await?.head.status)
--- a/limpetkeeld/tests/upstream.rs
+++ b/limpetkeeld/tests/upstream.rs
@@ -38,7 +38,7 @@
         .await
         .expect("listener");
     let address = listener.local_addr().expect("address");
-    let socket = upstream::new_socket(address).expect("socket");
+    let socket = upstream::new_socket(address.ip(), address).expect("socket");
     let stream = socket.connect(address).await.expect("stream");
     let socket = socket2::SockRef::from(&stream);
     let receive_len = socket.recv_buffer_size().expect("option");
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -112,6 +112,11 @@
     Err(deployment::Error::TimedOut("a port is free"))
 }
 
+/// Returns the address from which a daemon connects to peers and upstreams. It tells daemons apart.
+pub fn source_address(daemon_index: usize) -> net::IpAddr {
+    net::Ipv4Addr::new(127, 0, 1, 1 + daemon_index as u8).into()
+}
+
 impl Deployment {
     /// Starts a deployment with the default table, registers all upstreams and waits until all
     /// daemons are ready.
@@ -212,6 +217,7 @@
     fn start_daemon(&self, index: usize) -> deployment::Result<Daemon> {
         let (http_address, ready_address) = (free_address()?, free_address()?);
         let (status_address, peer_address) = (free_address()?, free_address()?);
+        let peer_address = net::SocketAddr::new(source_address(index), peer_address.port());
         let settings_path = self.directory.join(format!("node{index}.toml"));
         let hedging = self
             .options
