--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -1,6 +1,7 @@
 //! A stand-in for an upstream of relayed requests, whose failures can be controlled.
 
 mod http;
+mod path_fault;
 
 use std::{collections, net, sync, time};
 
@@ -12,6 +13,8 @@
 
 use crate::deployment::{self, scripted};
 
+pub use path_fault::PathFault;
+
 /// Returns the body of a complete stream as a caller receives it.
 pub fn complete_stream() -> String {
     let events = 1..=EVENTS_PER_STREAM;
@@ -115,6 +118,8 @@
     /// The address that the upstream listens on.
     pub address: net::SocketAddr,
     state: sync::Arc<parking_lot::Mutex<State>>,
+    listener: sync::Arc<tcp::TcpListener>,
+    path_faults: sync::Arc<path_fault::PathFaults>,
 }
 
 /// The number of events of a complete stream.
@@ -135,17 +140,55 @@
             name: name.to_owned(),
             address: listener.local_addr()?,
             state: sync::Arc::default(),
+            listener: sync::Arc::new(listener),
+            path_faults: sync::Arc::default(),
         };
         let acceptor = upstream.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, peer)) = acceptor.listener.accept().await {
                 let upstream = acceptor.clone();
-                tokio::spawn(async move { upstream.serve(stream).await });
+                tokio::spawn(async move { upstream.serve_on_path(stream, peer.ip()).await });
             }
         });
         Ok(upstream)
     }
 
+    /// Sets or ends a fault of the path between an instance and the upstream. `source` is the
+    /// address from which the instance connects.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the packets of new connections cannot be dropped.
+    pub fn set_path_fault(
+        &self,
+        source: net::IpAddr,
+        fault: Option<PathFault>,
+    ) -> deployment::Result<()> {
+        Ok(self.path_faults.set(&self.listener, source, fault)?)
+    }
+
+    /// Serves a connection as long as its path has no fault.
+    async fn serve_on_path(&self, mut stream: tcp::TcpStream, source: net::IpAddr) -> Option<()> {
+        // A duplicate, since the connection is borrowed while it is served.
+        let control = socket2::SockRef::from(&stream).try_clone().ok()?;
+        let control = tcp::TcpStream::from_std(control.into()).ok()?;
+        let serving = self.serve(&mut stream);
+        tokio::pin!(serving);
+        loop {
+            let fault = tokio::select! {
+                served = &mut serving => return served,
+                fault = self.path_faults.broken(source) => fault,
+            };
+            if fault == PathFault::Reset {
+                control.set_zero_linger().ok()?;
+                return None;
+            }
+            path_fault::set_deaf(&control, true).ok()?;
+            self.path_faults.healed(source).await;
+            path_fault::set_deaf(&control, false).ok()?;
+        }
+    }
+
     /// Sets the behavior towards new requests.
     pub fn set_behavior(&self, behavior: Behavior) {
         self.state.lock().behavior = Some(behavior);
@@ -200,8 +243,8 @@
     }
 
     /// Handles the one request of a connection. Returns `None` if the connection fails.
-    async fn serve(&self, mut stream: tcp::TcpStream) -> Option<()> {
-        let head = http::read_head(&mut stream).await?;
+    async fn serve(&self, stream: &mut tcp::TcpStream) -> Option<()> {
+        let head = http::read_head(stream).await?;
         let behavior = self.state.lock().behavior.unwrap_or(Behavior::Normal);
         let mut request = http::parse_head(&head.text);
         if behavior == Behavior::EarlyResponse {
@@ -243,16 +286,15 @@
         let received = request.clone();
         self.state.lock().received.push(received);
         if let Behavior::Scripted(script) = behavior {
-            if script.send(&mut stream, &self.name, &request.id).await == scripted::Closed::BySender
-            {
+            if script.send(stream, &self.name, &request.id).await == scripted::Closed::BySender {
                 self.state.lock().disconnects += 1;
             }
             return Some(());
         }
         if request.request_line.contains("/stream/") && sends_streams(behavior) {
-            return self.send_stream(&mut stream, &request, behavior).await;
+            return self.send_stream(stream, &request, behavior).await;
         }
-        self.respond(&mut stream, &request.id, behavior).await
+        self.respond(stream, &request.id, behavior).await
     }
 
     /// Sends a non-streaming response.
