--- a/limpetkeel/src/instance_registry.rs
+++ b/limpetkeel/src/instance_registry.rs
@@ -235,14 +235,19 @@
         in_zone.take(WATCHERS).cloned().collect()
     }
 
+    /// Returns the instances that are neither suspected nor the local one.
+    pub fn peers(&self, now: unit::Timestamp) -> Vec<member::Contact> {
+        self.unsuspected(now)
+            .filter(|contact| contact.name != self.local.name)
+            .cloned()
+            .collect()
+    }
+
     /// Returns a random instance that is neither suspected nor the local one. `draw` is a uniformly
     /// distributed random number.
     pub fn random_peer(&self, now: unit::Timestamp, draw: u64) -> Option<member::Contact> {
-        let others: Vec<_> = self
-            .unsuspected(now)
-            .filter(|contact| contact.name != self.local.name)
-            .collect();
-        let index = draw.checked_rem(others.len() as u64)?;
-        others.get(index as usize).map(|contact| (*contact).clone())
+        let mut peers = self.peers(now);
+        let index = draw.checked_rem(peers.len() as u64)?;
+        Some(peers.swap_remove(index as usize))
     }
 }
--- a/limpetkeel/src/lib.rs
+++ b/limpetkeel/src/lib.rs
@@ -77,6 +77,7 @@
 mod upstream;
 mod upstream_availability;
 mod upstream_list;
+mod upstream_path;
 mod upstream_registry;
 mod workspace;
 
@@ -161,6 +162,7 @@
 pub use upstream::{Capacity, HOLD_LIFETIME, LoadReport, ORPHAN_GRACE, RunningRequest, Upstream};
 pub use upstream_availability::{MAX_PAUSE, UpstreamAvailability, UpstreamProcess};
 pub use upstream_list::{Entry as UpstreamListEntry, UpstreamList};
+pub use upstream_path::UpstreamPaths;
 pub use upstream_registry::{
     COLD_LEFT_UNKNOWN, ColdPeriod, Entry as UpstreamRegistryEntry, Removal, UpstreamRegistry,
     UpstreamState,
--- a/limpetkeel/src/memory_account.rs
+++ b/limpetkeel/src/memory_account.rs
@@ -42,15 +42,18 @@
     QueuedEvents,
     /// Messages of peers that are being received or handled.
     Messages,
+    /// Connections to upstreams that are open for peers.
+    Tunnels,
 }
 
 /// All shares and their percentages: the guaranteed part and the maximum.
-const SHARES: [(MemoryShare, u8, u8); 5] = [
+const SHARES: [(MemoryShare, u8, u8); 6] = [
     (MemoryShare::RequestHeads, 30, 30),
     (MemoryShare::RequestBodies, 15, 35),
     (MemoryShare::ResponseBodies, 15, 35),
     (MemoryShare::QueuedEvents, 10, 20),
     (MemoryShare::Messages, 10, 20),
+    (MemoryShare::Tunnels, 0, 20),
 ];
 
 impl MemoryShare {
@@ -67,6 +70,7 @@
             MemoryShare::ResponseBodies => "response_bodies",
             MemoryShare::QueuedEvents => "queued_events",
             MemoryShare::Messages => "messages",
+            MemoryShare::Tunnels => "tunnels",
         }
     }
 }
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -97,6 +97,8 @@
     Inconclusive,
     /// The upstream sent no response in time, or stopped sending.
     Silent,
+    /// The path from the instance to the upstream failed, while others reach the upstream.
+    PathFailed,
 }
 
 /// A report that a plan, or one attempt of it, has ended.
--- a/limpetkeel/src/plan_check.rs
+++ b/limpetkeel/src/plan_check.rs
@@ -74,6 +74,25 @@
         Ok(())
     }
 
+    /// Checks one upstream, whatever its pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the upstream must not be used.
+    pub fn check_single(
+        &mut self,
+        registry: &upstream_registry::UpstreamRegistry,
+        evacuations: &evacuation_list::EvacuationList,
+        upstream: &grant::UpstreamAddress,
+    ) -> Result<(), StaleReason> {
+        let listed = registry.get(&upstream.upstream);
+        match listed.map(|entry| entry.pool.clone()) {
+            Some(pool) => self.check_upstream(registry, evacuations, &pool, upstream),
+            None if registry.was_removed(&upstream.upstream) => Err(StaleReason::Removed),
+            None => Ok(()),
+        }
+    }
+
     fn check_upstream(
         &mut self,
         registry: &upstream_registry::UpstreamRegistry,
--- a/limpetkeel/src/planner/evidence.rs
+++ b/limpetkeel/src/planner/evidence.rs
@@ -93,7 +93,7 @@
         let planned_at = record.map_or(now, |record| record.planned_at);
         let participants = record.map_or_else(Vec::new, |record| record.participants.clone());
         let evidence = match plan_result.result {
-            plan::AttemptResult::Unreachable => return,
+            plan::AttemptResult::Unreachable | plan::AttemptResult::PathFailed => return,
             plan::AttemptResult::Succeeded if participants.len() > 1 => {
                 for name in participants {
                     let evidence = ejection::Evidence::Success;
--- a/limpetkeel/src/planner/health.rs
+++ b/limpetkeel/src/planner/health.rs
@@ -70,7 +70,7 @@
     ) {
         let pair = (path.from.clone(), path.zone.clone());
         match result {
-            plan::AttemptResult::Inconclusive => return,
+            plan::AttemptResult::Inconclusive | plan::AttemptResult::PathFailed => return,
             // Silence does not show that the upstream was reached.
             plan::AttemptResult::Silent => {}
             plan::AttemptResult::Unreachable => {
--- a/limpetkeel/src/upstream_availability.rs
+++ b/limpetkeel/src/upstream_availability.rs
@@ -21,7 +21,7 @@
 const UNLISTED_RETENTION: unit::Millis = unit::Millis(60 * 1_000);
 
 /// The process of an upstream to which a request is sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct UpstreamProcess {
     pool: name::PoolName,
     name: name::UpstreamName,
--- a/limpetkeeld/src/metrics/relay.rs
+++ b/limpetkeeld/src/metrics/relay.rs
@@ -48,6 +48,12 @@
     pub unreadable_entries: prometheus::IntCounter,
     /// Upstreams that said that they accept no requests for now or any longer, by reason.
     pub unavailable_upstreams: prometheus::IntCounterVec,
+    /// Paths to upstreams that were severed or restored, by change.
+    pub path_changes: prometheus::IntCounterVec,
+    /// Paths to upstreams on which only a peer connects.
+    pub severed_paths: prometheus::IntGauge,
+    /// Tunnels that were requested of peers or served for them, by role and result.
+    pub tunnels: prometheus::IntCounterVec,
     /// Memory reservations on engines, by result.
     pub reservations: prometheus::IntCounterVec,
     /// Requests that waited for the capacity of upstreams.
@@ -239,6 +245,20 @@
                 "limpetkeel_relay_capacity_waits_total",
                 "Requests that waited for the capacity of upstreams.",
             )?,
+            path_changes: registrar.counter_vec(
+                "limpetkeel_relay_path_changes_total",
+                "Paths to upstreams that were severed or restored.",
+                &["change"],
+            )?,
+            severed_paths: registrar.gauge(
+                "limpetkeel_relay_severed_paths",
+                "Paths to upstreams on which only a peer connects.",
+            )?,
+            tunnels: registrar.counter_vec(
+                "limpetkeel_relay_tunnels_total",
+                "Tunnels to upstreams, requested of peers or served for them.",
+                &["role", "result"],
+            )?,
             reservations: registrar.counter_vec(
                 "limpetkeel_relay_reservations_total",
                 "Reservations of engine memory, by result.",
--- a/limpetkeeld/src/peer.rs
+++ b/limpetkeeld/src/peer.rs
@@ -7,6 +7,7 @@
 mod handshake;
 pub mod message;
 pub mod server;
+pub mod tunnel;
 
 use std::fmt;
 
--- a/limpetkeeld/src/peer/client.rs
+++ b/limpetkeeld/src/peer/client.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     counting_stream, metrics,
-    peer::{self, handshake, message},
+    peer::{self, handshake, message, tunnel},
     relay::memory,
 };
 
@@ -93,6 +93,31 @@
     }
 }
 
+/// The windows of a link, in bytes.
+#[derive(Clone, Copy)]
+struct Windows {
+    stream: u32,
+    connection: u32,
+}
+
+/// The windows of a link for messages. A stream has room for one complete message.
+const MESSAGE_WINDOWS: Windows = Windows {
+    stream: peer::WINDOW_BYTES,
+    connection: peer::WINDOW_BYTES,
+};
+
+/// The windows of a link for tunnels. The connection has room for the windows of so many streams
+/// that one whose caller reads slowly does not hold up the others.
+const TUNNEL_WINDOWS: Windows = Windows {
+    stream: tunnel::WINDOW_BYTES,
+    connection: MAX_SLOW_TUNNELS * tunnel::WINDOW_BYTES,
+};
+
+/// The number of tunnels to one peer that may be slow without holding up others.
+const MAX_SLOW_TUNNELS: u32 = 256;
+
+type LinkSlots = parking_lot::Mutex<collections::HashMap<net::SocketAddr, LinkSlot>>;
+
 type LinkSlot = sync::Arc<async_sync::Mutex<Option<Link<Authenticated>>>>;
 
 /// The links to all peers. Each link is established on first use.
@@ -101,7 +126,9 @@
     source: net::IpAddr,
     metrics: sync::Arc<metrics::Metrics>,
     memory: Option<memory::Memory>,
-    slots: parking_lot::Mutex<collections::HashMap<net::SocketAddr, LinkSlot>>,
+    slots: LinkSlots,
+    /// The links for tunnels, which are apart so that they do not delay messages.
+    tunnel_slots: LinkSlots,
 }
 
 impl PeerLinks {
@@ -112,7 +139,8 @@
             source,
             metrics,
             memory: None,
-            slots: parking_lot::Mutex::default(),
+            slots: LinkSlots::default(),
+            tunnel_slots: LinkSlots::default(),
         }
     }
 
@@ -158,15 +186,7 @@
         req: &message::Request,
     ) -> Result<message::Response, peer::Error> {
         let slot = self.slots.lock().entry(address).or_default().clone();
-        let link = {
-            let mut link = slot.lock().await;
-            match link.as_ref() {
-                Some(link) => link.clone(),
-                None => link
-                    .insert(self.connect(address, slot.clone()).await?)
-                    .clone(),
-            }
-        };
+        let link = self.link(address, &slot, MESSAGE_WINDOWS).await?;
         let response = link.call(req).await;
         if response.is_err() {
             *slot.lock().await = None;
@@ -174,10 +194,42 @@
         response
     }
 
+    /// Opens a tunnel to an upstream through a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer is unreachable or refuses. Nothing was sent to the upstream.
+    pub async fn open_tunnel(
+        &self,
+        address: net::SocketAddr,
+        opening: &message::TunnelRequest,
+    ) -> Result<tunnel::TunnelStream, tunnel::Error> {
+        let slot = self.tunnel_slots.lock().entry(address).or_default().clone();
+        let link = self.link(address, &slot, TUNNEL_WINDOWS).await?;
+        tunnel::TunnelStream::open(link.sender, opening).await
+    }
+
+    /// Returns the link of a slot, which is established if there is none.
+    async fn link(
+        &self,
+        address: net::SocketAddr,
+        slot: &LinkSlot,
+        windows: Windows,
+    ) -> Result<Link<Authenticated>, peer::Error> {
+        let mut link = slot.lock().await;
+        Ok(match link.as_ref() {
+            Some(link) => link.clone(),
+            None => link
+                .insert(self.connect(address, slot.clone(), windows).await?)
+                .clone(),
+        })
+    }
+
     async fn connect(
         &self,
         address: net::SocketAddr,
         slot: LinkSlot,
+        windows: Windows,
     ) -> Result<Link<Authenticated>, peer::Error> {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, async {
             let stream = self
@@ -190,8 +242,8 @@
                 self.metrics.peer_bytes.with_label_values(&["received"]),
             );
             let (sender, mut connection) = h2::client::Builder::new()
-                .initial_window_size(peer::WINDOW_BYTES)
-                .initial_connection_window_size(peer::WINDOW_BYTES)
+                .initial_window_size(windows.stream)
+                .initial_connection_window_size(windows.connection)
                 .max_header_list_size(peer::MAX_HEADER_BYTES)
                 .enable_push(false)
                 .handshake::<_, Bytes>(stream)
--- a/limpetkeeld/src/peer/message.rs
+++ b/limpetkeeld/src/peer/message.rs
@@ -3,9 +3,10 @@
 //! `bincode` encodes the positions of fields and variants, so their order is part of the protocol.
 
 use limpetkeel::{
-    Contact, Declarations, Digest, Grant, HeldGrant, Millis, OutputUsage, PlacementRequest, Plan,
-    PlanRequest, PlanResult, PoolName, RecordUpdate, ReportedPlan, RequestId, Revision,
-    StoreChanges, StoreSnapshot, UpdateResult, UpstreamListEntry, UpstreamName,
+    AnnouncedLimit, Contact, Declarations, Digest, Grant, HeldGrant, InstanceName, Millis,
+    OutputUsage, PlacementRequest, Plan, PlanRequest, PlanResult, PoolName, RecordUpdate,
+    ReportedPlan, RequestId, Revision, StoreChanges, StoreSnapshot, UpdateResult, UpstreamAddress,
+    UpstreamListEntry, UpstreamName, UpstreamProcess,
 };
 
 /// A request to a peer; each has one [`Response`].
@@ -38,6 +39,8 @@
     FetchSnapshot(KnownTables),
     /// Requests the changes after a revision, and waits for one.
     WaitForChanges(ChangesRequest),
+    /// Reports what an upstream said about further requests in a response that the peer passed on.
+    ReportStatement(UpstreamStatement),
 }
 
 impl Request {
@@ -57,6 +60,7 @@
             Request::ReportPlan(report) => report.kind(),
             Request::WaitForChanges(_) => "follow",
             Request::FetchSnapshot(_) => "catalog",
+            Request::ReportStatement(_) => "statement",
         }
     }
 }
@@ -95,6 +99,66 @@
     }
 }
 
+/// What an upstream process said about further requests in a response.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct UpstreamStatement {
+    /// The process.
+    pub process: UpstreamProcess,
+    /// Whether it is about to stop and accepts no further requests.
+    pub leaving: bool,
+    /// How long it wants no further requests.
+    pub retry_after: Option<Millis>,
+    /// Its request limit.
+    pub limit: Option<AnnouncedLimit>,
+}
+
+/// A request to connect to an upstream, the opening message of a tunnel.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct TunnelRequest {
+    /// The upstream.
+    pub upstream: UpstreamAddress,
+    /// What the connection is for.
+    pub purpose: TunnelPurpose,
+}
+
+/// What a tunnel is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum TunnelPurpose {
+    /// A caller's request. It is refused if the upstream accepts no requests from the peer.
+    Request,
+    /// An order to the upstream, or a check of the path, which a draining upstream accepts as well.
+    Order,
+}
+
+/// The reason why a peer does not connect to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum TunnelRefusal {
+    /// The peer is draining.
+    Draining,
+    /// The upstream accepts no requests from the peer, or is not listed at this address.
+    Unavailable,
+    /// The peer does not reach the upstream. Another instance through which it reaches upstreams
+    /// itself, if there is one.
+    Unreachable(Option<InstanceName>),
+    /// The peer has no memory for the tunnel.
+    NoMemory,
+    /// The peer opens no tunnels.
+    Unsupported,
+}
+
+impl TunnelRefusal {
+    /// Returns the name of the refusal in metrics and logs.
+    pub fn code(&self) -> &'static str {
+        match self {
+            TunnelRefusal::Draining => "draining",
+            TunnelRefusal::Unavailable => "unavailable",
+            TunnelRefusal::Unreachable(_) => "unreachable",
+            TunnelRefusal::NoMemory => "no_memory",
+            TunnelRefusal::Unsupported => "unsupported",
+        }
+    }
+}
+
 /// The response to a [`Request`].
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub enum Response {
--- a/limpetkeeld/src/peer/server.rs
+++ b/limpetkeeld/src/peer/server.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     counting_stream, listener, metrics,
-    peer::{self, handshake, message},
+    peer::{self, handshake, message, tunnel},
     relay::memory,
 };
 
@@ -22,6 +22,18 @@
     /// Handles a message and returns its response.
     fn handle(&self, req: message::Request) -> impl Future<Output = message::Response> + Send;
 
+    /// Connects to an upstream for a peer. The default refuses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why there is no connection.
+    fn connect(
+        &self,
+        _: message::TunnelRequest,
+    ) -> impl Future<Output = Result<tunnel::Outlet, message::TunnelRefusal>> + Send {
+        std::future::ready(Err(message::TunnelRefusal::Unsupported))
+    }
+
     /// Returns the memory account in which received messages are reserved, if there is one.
     fn memory(&self) -> Option<&memory::Memory> {
         None
@@ -145,6 +157,9 @@
 
 async fn handle_stream<H: RequestHandler>(stream: Stream, handler: &H) -> Result<(), peer::Error> {
     let (req, mut respond) = stream;
+    if req.uri().path() == tunnel::PATH {
+        return handle_tunnel(req.into_body(), respond, handler).await;
+    }
     let mut body = req.into_body();
     // The reservation is held until the message has been handled.
     let received =
@@ -158,6 +173,30 @@
     send_response(respond, http::StatusCode::OK, peer::encode(&response)?)
 }
 
+/// Opens a tunnel and copies its bytes until it ends.
+async fn handle_tunnel<H: RequestHandler>(
+    mut body: h2::RecvStream,
+    mut respond: h2::server::SendResponse<Bytes>,
+    handler: &H,
+) -> Result<(), peer::Error> {
+    let opening = tunnel::receive_opening(&mut body).await?;
+    let connected = tokio::select! {
+        connected = handler.connect(opening) => connected,
+        _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => return Ok(()),
+    };
+    match connected {
+        Ok(outlet) => {
+            let send = respond.send_response(http::Response::new(()), false)?;
+            tunnel::copy(outlet, body, send).await;
+            Ok(())
+        }
+        Err(refusal) => {
+            let refusal = peer::encode(&refusal)?;
+            send_response(respond, http::StatusCode::SERVICE_UNAVAILABLE, refusal)
+        }
+    }
+}
+
 fn send_response(
     mut respond: h2::server::SendResponse<Bytes>,
     status: http::StatusCode,
@@ -239,7 +278,7 @@
     key: &[u8],
 ) -> Result<Link<Authenticated>, peer::Error> {
     let connection = h2::server::Builder::new()
-        .initial_window_size(peer::WINDOW_BYTES)
+        .initial_window_size(tunnel::WINDOW_BYTES)
         .max_header_list_size(peer::MAX_HEADER_BYTES)
         .max_concurrent_streams(peer::MAX_PENDING_MESSAGES)
         .handshake(stream)
--- a/limpetkeeld/src/peer_handler.rs
+++ b/limpetkeeld/src/peer_handler.rs
@@ -71,7 +71,8 @@
             message::Request::RequestPlan(..)
             | message::Request::ReportPlan(_)
             | message::Request::FetchSnapshot(_)
-            | message::Request::WaitForChanges(_) => message::Response::Unsupported,
+            | message::Request::WaitForChanges(_)
+            | message::Request::ReportStatement(_) => message::Response::Unsupported,
         }
     }
 }
--- a/limpetkeeld/src/relay.rs
+++ b/limpetkeeld/src/relay.rs
@@ -5,7 +5,8 @@
 //! body into memory that is reserved in [`memory`], and [`drive`] carries the request to its end. For
 //! each attempt, [`preparation`] obtains a plan through [`planning`] from the pool's planner, which
 //! is the [`local_planner`] of one instance, connects to the lead, and reserves memory on the helper
-//! engines through [`reservations`]. [`hedge`] starts the attempt, and a second one if the response is slow. [`attempt`] sends the request over one connection of
+//! engines through [`reservations`]. [`path`] connects to upstreams, by the instance itself or through
+//! a peer, for which [`tunnel`] connects. [`hedge`] starts the attempt, and a second one if the response is slow. [`attempt`] sends the request over one connection of
 //! [`upstream`], [`availability`] keeps what the response says about further requests, and
 //! [`stream`] forwards an event stream to the caller through [`response_writer`].
 //! [`request_summary`] logs the result.
@@ -37,6 +38,7 @@
 pub mod jobs;
 pub mod local_planner;
 pub mod memory;
+pub mod path;
 pub mod peer_fallback;
 pub mod peer_handler;
 pub mod planning;
@@ -57,5 +59,6 @@
 pub mod store_watch;
 pub mod stream;
 pub mod task;
+pub mod tunnel;
 pub mod upstream;
 pub mod worker;
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -1,16 +1,16 @@
 //! A single attempt to serve a request on one upstream.
 
-use std::time;
+use std::{sync, time};
 
 use bytes::Bytes;
 use limpetkeel::{
-    BodyAllowance, Millis, Plan, RelayedRequest, ResponseForm, ResponseLimit, RetryPolicy, Sent,
-    Timeliness, UpstreamName, UpstreamProcess,
+    AttemptResult, BodyAllowance, Contact, Millis, Plan, RelayedRequest, ResponseForm,
+    ResponseLimit, RetryPolicy, Sent, Timeliness, UpstreamName, UpstreamProcess,
 };
 
 use crate::relay::{
-    availability, caller_request, planning, port, reservations, response_body, response_writer,
-    retry_budget, shared, stream, upstream,
+    availability, caller_request, path, planning, port, reservations, response_body,
+    response_writer, retry_budget, shared, stream, upstream,
 };
 
 /// Timeout for a complete response, as a multiple of the route's objective, while a retry is
@@ -57,6 +57,8 @@
     Crashed,
     /// The connection broke during the response, or the response was malformed.
     Broken,
+    /// The tunnel to the upstream through a peer broke.
+    PathBroken,
     /// The response exceeds a limit.
     LimitExceeded(ResponseLimit),
     /// The instance has no memory for the response.
@@ -75,6 +77,7 @@
         match self {
             Cause::Crashed => "crashed",
             Cause::Broken => "broken",
+            Cause::PathBroken => "path_broken",
             Cause::LimitExceeded(_) => "over_limit",
             Cause::NoMemory => "no_memory",
             Cause::TimedOut => "silent",
@@ -82,6 +85,19 @@
             Cause::NotEvents => "not_events",
         }
     }
+
+    /// Returns the result of the attempt as its planner is told, unless the path has failed.
+    pub fn attempt_result(self) -> AttemptResult {
+        match self {
+            Cause::Crashed => AttemptResult::Crashed,
+            Cause::TimedOut => AttemptResult::Silent,
+            Cause::NoMemory => AttemptResult::Inconclusive,
+            Cause::PathBroken => AttemptResult::PathFailed,
+            Cause::Broken | Cause::LimitExceeded(_) | Cause::Mismatched | Cause::NotEvents => {
+                AttemptResult::Failed
+            }
+        }
+    }
 }
 
 /// Returns the timeout for the first event of a stream, or for a complete response.
@@ -206,6 +222,11 @@
         }
     }
 
+    /// Returns the peer that has established the connection, if this instance has not.
+    pub fn peer(&self) -> Option<&Contact> {
+        self.connection.peer()
+    }
+
     /// Returns when a complete response or the first event has to arrive.
     pub fn response_deadline(&self) -> tokio::time::Instant {
         self.response_deadline
@@ -219,15 +240,17 @@
     /// incomplete, for another request or an error response.
     pub async fn send(
         self,
-        shared: &shared::Shared,
+        shared: &sync::Arc<shared::Shared>,
         request: &caller_request::CallerRequest,
     ) -> Result<Begun, Failure> {
         let response_deadline = self.response_deadline;
+        let peer = self.peer().cloned();
         let sent = tokio::time::timeout_at(response_deadline, self.connection.send(self.req)).await;
         let mut response = sent
             .map_err(|_| Failure::Failed(Cause::TimedOut))?
             .map_err(|e| match e {
                 upstream::Error::Broken => Failure::Failed(Cause::Crashed),
+                upstream::Error::PathBroken => Failure::Failed(Cause::PathBroken),
                 upstream::Error::LimitExceeded(limit) => {
                     Failure::Failed(Cause::LimitExceeded(limit))
                 }
@@ -246,6 +269,11 @@
             && own_id != Some(false)
         {
             availability::record_response(shared, &process, &response_head);
+            if let Some(peer) = &peer
+                && let Some(statement) = availability::statement(&process, &response_head)
+            {
+                path::report_statement(shared, peer, statement);
+            }
         }
         // A decline may come without an ID. With another ID it says nothing about this request.
         if response_head.declined && own_id != Some(false) {
@@ -273,6 +301,7 @@
             .map_err(|_| Failure::Failed(Cause::TimedOut))?
             .map_err(|e| match e {
                 response_body::Error::Broken => Failure::Failed(Cause::Broken),
+                response_body::Error::PathBroken => Failure::Failed(Cause::PathBroken),
                 response_body::Error::LimitExceeded(limit) => {
                     Failure::Failed(Cause::LimitExceeded(limit))
                 }
@@ -298,7 +327,7 @@
     /// event.
     pub async fn send_until_arrival(
         self,
-        shared: &shared::Shared,
+        shared: &sync::Arc<shared::Shared>,
         request: &caller_request::CallerRequest,
     ) -> Result<Begun, Failure> {
         let response_deadline = self.response_deadline;
@@ -321,6 +350,7 @@
         stream::Failure::Stalled => Failure::Failed(Cause::TimedOut),
         stream::Failure::Broken if !has_begun => Failure::Failed(Cause::Crashed),
         stream::Failure::Broken => Failure::Failed(Cause::Broken),
+        stream::Failure::PathBroken => Failure::Failed(Cause::PathBroken),
         stream::Failure::NotEvents => Failure::Failed(Cause::NotEvents),
         stream::Failure::LimitExceeded(limit) => Failure::Failed(Cause::LimitExceeded(limit)),
         stream::Failure::NoMemory => Failure::Failed(Cause::NoMemory),
--- a/limpetkeeld/src/relay/availability.rs
+++ b/limpetkeeld/src/relay/availability.rs
@@ -5,7 +5,10 @@
     UpstreamProcess,
 };
 
-use crate::relay::{port, shared};
+use crate::{
+    peer::message,
+    relay::{port, shared},
+};
 
 /// Returns the process to which a request to an upstream of a pool is sent now, or `None` if the
 /// registry lists another one.
@@ -84,6 +87,45 @@
     }
 }
 
+/// Returns `true` if an upstream accepts requests from this instance.
+pub fn is_available(shared: &shared::Shared, upstream: &UpstreamName) -> bool {
+    let now = shared.clock.now();
+    shared.availability.lock().is_available(now, upstream)
+}
+
+/// Records what an upstream process said in a response that passed through this instance.
+pub fn record_statement(shared: &shared::Shared, statement: &message::UpstreamStatement) {
+    let response_head = port::ResponseHead {
+        // The instance that received the response has checked whose it is.
+        signed: true,
+        leaving: statement.leaving,
+        retry_after: statement.retry_after,
+        limit: statement.limit,
+        ..port::ResponseHead::default()
+    };
+    record_response(shared, &statement.process, &response_head);
+}
+
+/// Returns what a response says about further requests, if it says anything. A limit is part of it
+/// only if the response counts as one of the process.
+pub fn statement(
+    process: &UpstreamProcess,
+    response_head: &port::ResponseHead,
+) -> Option<message::UpstreamStatement> {
+    let is_limited = matches!(response_head.limit, Some(AnnouncedLimit::Limited(_)));
+    let limit = response_head
+        .limit
+        .filter(|_| is_limited && (response_head.signed || response_head.declined));
+    let says_nothing =
+        !response_head.leaving && response_head.retry_after.is_none() && limit.is_none();
+    (!says_nothing).then(|| message::UpstreamStatement {
+        process: process.clone(),
+        leaving: response_head.leaving,
+        retry_after: response_head.retry_after,
+        limit,
+    })
+}
+
 /// Returns the request limits that the upstreams of a pool have announced.
 pub fn limit_notices(shared: &shared::Shared, pool: &PoolName) -> Vec<LimitNotice> {
     let now = shared.clock.now();
--- a/limpetkeeld/src/relay/daemon.rs
+++ b/limpetkeeld/src/relay/daemon.rs
@@ -158,6 +158,9 @@
 fn update_gauges(shared: &shared::Shared) {
     let connections = shared.connections.lock().table.len();
     shared.metrics.relay.connections.set(connections as i64);
+    let severed_paths = shared.paths.lock().severed_count();
+    let gauge = &shared.metrics.relay.severed_paths;
+    gauge.set(severed_paths as i64);
     for share in MemoryShare::all() {
         let reserved = shared.memory.reserved(share);
         let gauge = &shared.metrics.relay.memory_bytes;
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::relay::{
-    attempt, caller_request, drain, hedge, planning, preparation, request_summary, response_writer,
-    retry_budget, shared, stream,
+    attempt, caller_request, drain, hedge, path, planning, preparation, request_summary,
+    response_writer, retry_budget, shared, stream,
 };
 
 /// Number of failures to connect or to reserve memory after which a request is given up.
@@ -244,7 +244,9 @@
     let started = hedge::start(shared, request, sent, prepared, writer.is_streaming()).await;
     let (mut sent, mut plan_guard) = (started.sent, started.plan_guard);
     summary.sends = sent.send_count();
-    let lead = sent.plan().lead.upstream.clone();
+    let lead_address = sent.plan().lead.clone();
+    let lead = lead_address.upstream.clone();
+    let peer = started.peer;
     let result = match started.begun {
         Ok(begun) => {
             let context = stream::StreamContext {
@@ -283,7 +285,11 @@
             return AttemptOutcome::Retry(sent.into_declined(at_fault));
         }
         Err(attempt::Failure::Stalled(stream)) => {
-            plan_guard.report_silence(&lead);
+            let silence = attempt::Cause::TimedOut;
+            let checking = path::attempt_result(shared, &lead_address, peer.as_ref(), silence);
+            if checking.await == AttemptResult::Silent {
+                plan_guard.report_silence(&lead);
+            }
             record_failed_attempt(shared, request, &lead, "silent");
             let plan = sent.plan().clone();
             *standby = Some(stream::Standby {
@@ -296,23 +302,24 @@
         }
         // A resumed prompt has had a response before.
         Err(attempt::Failure::Failed(attempt::Cause::Crashed)) if !writer.is_streaming() => {
-            plan_guard.record_attempt_result(&lead, AttemptResult::Crashed);
+            let crash = attempt::Cause::Crashed;
+            let checking = path::attempt_result(shared, &lead_address, peer.as_ref(), crash);
+            plan_guard.record_attempt_result(&lead, checking.await);
             record_failed_attempt(shared, request, &lead, attempt::Cause::Crashed.code());
             // The planner needs the evidence before it plans a retry.
             plan_guard.report().await;
             return AttemptOutcome::Retry(sent.into_failed());
         }
-        Err(attempt::Failure::Failed(attempt::Cause::TimedOut)) => {
-            (lead, AttemptResult::Silent, attempt::Cause::TimedOut.code())
-        }
-        Err(attempt::Failure::Failed(cause @ attempt::Cause::NoMemory)) => {
-            (lead, AttemptResult::Inconclusive, cause.code())
-        }
         Err(attempt::Failure::Failed(cause)) => {
             if let attempt::Cause::LimitExceeded(limit) = cause {
                 record_exceeded_limit(shared, request, &lead, limit);
             }
-            (lead, AttemptResult::Failed, cause.code())
+            let checking = path::attempt_result(shared, &lead_address, peer.as_ref(), cause);
+            let result = match checking.await {
+                AttemptResult::Crashed => AttemptResult::Failed,
+                result => result,
+            };
+            (lead, result, cause.code())
         }
     };
     plan_guard.record_attempt_result(&at_fault, attempt_result);
--- a/limpetkeeld/src/relay/exchange.rs
+++ b/limpetkeeld/src/relay/exchange.rs
@@ -17,7 +17,7 @@
 }
 
 /// Keeps a request counted as in progress until it is dropped.
-struct ExchangeGuard {
+pub struct ExchangeGuard {
     shared: sync::Arc<shared::Shared>,
     request: sync::Arc<str>,
     key: u64,
@@ -44,7 +44,7 @@
 
 impl ExchangeGuard {
     /// Counts a request as in progress.
-    fn begin(shared: &sync::Arc<shared::Shared>, exchange: Exchange) -> ExchangeGuard {
+    pub fn begin(shared: &sync::Arc<shared::Shared>, exchange: Exchange) -> ExchangeGuard {
         let mut requests = shared.requests.lock();
         let key = requests.next_exchange;
         requests.next_exchange += 1;
--- a/limpetkeeld/src/relay/hedge.rs
+++ b/limpetkeeld/src/relay/hedge.rs
@@ -7,12 +7,12 @@
 use std::sync;
 
 use limpetkeel::{
-    AttemptResult, FirstAttempt, HedgeLimit, Hedged, Millis, Plan, PoolName, RelayedRequest, Sent,
-    Timestamp, UpstreamName,
+    AttemptResult, Contact, FirstAttempt, HedgeLimit, Hedged, Millis, Plan, PoolName,
+    RelayedRequest, Sent, Timestamp, UpstreamAddress,
 };
 
 use crate::relay::{
-    attempt, caller_request, drain, drive, planning, preparation, reservations, retry_budget,
+    attempt, caller_request, drain, drive, path, planning, preparation, reservations, retry_budget,
     shared,
 };
 
@@ -24,6 +24,8 @@
     pub plan_guard: planning::PlanGuard,
     /// The helper engines and their reservations.
     pub group: reservations::HelperGroup,
+    /// The peer that has established the connection, if this instance has not.
+    pub peer: Option<Contact>,
     /// When a complete response or the first event has to arrive.
     pub response_deadline: tokio::time::Instant,
     /// The beginning of the response.
@@ -34,6 +36,7 @@
 struct Running {
     plan_guard: planning::PlanGuard,
     group: reservations::HelperGroup,
+    peer: Option<Contact>,
     response_deadline: tokio::time::Instant,
     sent_at: Timestamp,
 }
@@ -48,6 +51,7 @@
             sent,
             plan_guard: self.plan_guard,
             group: self.group,
+            peer: self.peer,
             response_deadline: self.response_deadline,
             begun,
         }
@@ -116,6 +120,7 @@
     let running = Running {
         plan_guard,
         group,
+        peer: outgoing.peer().cloned(),
         response_deadline: outgoing.response_deadline(),
         sent_at: shared.clock.now(),
     };
@@ -163,14 +168,13 @@
         let (side, begun) = if is_final(&begun) {
             (side, begun)
         } else if side == Side::First {
-            self.report_failure(&hedged.first().lead.upstream, running.plan_guard, &begun);
+            self.report_failure(&hedged.first().lead, running, &begun);
             let begun = second.await;
             self.record_arrival(&second_running, &begun);
             self.count("second_alone");
             return second_running.into_started(hedged.into_second(), begun);
         } else {
-            let second_lead = &hedged.second().lead.upstream;
-            self.report_failure(second_lead, second_running.plan_guard, &begun);
+            self.report_failure(&hedged.second().lead, second_running, &begun);
             let begun = first.await;
             self.record_arrival(&running, &begun);
             self.count("first_alone");
@@ -293,32 +297,40 @@
         hedging.record_response_time(now, &self.first_attempt(), elapsed);
     }
 
-    /// Reports the failure of an attempt while the other one is running.
+    /// Reports the failure of an attempt while the other one is running. A check of the path runs
+    /// in the background.
     fn report_failure(
         &self,
-        lead: &UpstreamName,
-        mut plan_guard: planning::PlanGuard,
+        lead: &UpstreamAddress,
+        running: Running,
         begun: &Result<attempt::Begun, attempt::Failure>,
     ) {
-        let (at_fault, result, reason) = match begun {
-            Ok(_) => (lead, AttemptResult::Silent, "silent"),
-            Err(attempt::Failure::Declined(at_fault)) => {
-                let at_fault = at_fault.as_ref().unwrap_or(lead);
-                (at_fault, AttemptResult::Declined, "declined")
-            }
-            Err(attempt::Failure::Failed(cause)) => {
-                let result = match cause {
-                    attempt::Cause::Crashed => AttemptResult::Crashed,
-                    attempt::Cause::TimedOut => AttemptResult::Silent,
-                    attempt::Cause::NoMemory => AttemptResult::Inconclusive,
-                    _ => AttemptResult::Failed,
+        let name = &lead.upstream;
+        let cause = match begun {
+            Ok(_) => attempt::Cause::TimedOut,
+            Err(attempt::Failure::Failed(cause)) => *cause,
+            Err(failure) => {
+                let (at_fault, result, reason) = match failure {
+                    attempt::Failure::Declined(at_fault) => {
+                        let at_fault = at_fault.as_ref().unwrap_or(name);
+                        (at_fault, AttemptResult::Declined, "declined")
+                    }
+                    _ => (name, AttemptResult::Failed, "answered_error"),
                 };
-                (lead, result, cause.code())
+                let mut plan_guard = running.plan_guard;
+                plan_guard.record_attempt_result(at_fault, result);
+                drive::record_failed_attempt(self.shared, self.request, at_fault, reason);
+                return;
             }
-            Err(_) => (lead, AttemptResult::Failed, "answered_error"),
         };
-        plan_guard.record_attempt_result(at_fault, result);
-        drive::record_failed_attempt(self.shared, self.request, at_fault, reason);
+        drive::record_failed_attempt(self.shared, self.request, name, cause.code());
+        let (shared, lead) = (self.shared.clone(), lead.clone());
+        let (mut plan_guard, peer) = (running.plan_guard, running.peer);
+        tokio::spawn(async move {
+            let checking = path::attempt_result(&shared, &lead, peer.as_ref(), cause);
+            let result = checking.await;
+            plan_guard.record_attempt_result(&lead.upstream, result);
+        });
     }
 
     fn count(&self, result: &'static str) {
--- a/limpetkeeld/src/relay/peer_handler.rs
+++ b/limpetkeeld/src/relay/peer_handler.rs
@@ -3,8 +3,10 @@
 use std::sync;
 
 use crate::{
-    peer::{message, server},
-    relay::{freshness, memory, planning, shared, store_updates, store_watch},
+    peer::{message, server, tunnel as peer_tunnel},
+    relay::{
+        availability, freshness, memory, planning, shared, store_updates, store_watch, tunnel,
+    },
 };
 
 /// Serves peer requests from the shared tables.
@@ -26,6 +28,13 @@
         Some(&self.shared.memory)
     }
 
+    async fn connect(
+        &self,
+        req: message::TunnelRequest,
+    ) -> Result<peer_tunnel::Outlet, message::TunnelRefusal> {
+        tunnel::connect(&self.shared, req).await
+    }
+
     async fn handle(&self, req: message::Request) -> message::Response {
         match req {
             message::Request::RequestPlan(plan_request, requester) => {
@@ -49,6 +58,10 @@
             message::Request::WaitForChanges(req) => {
                 message::Response::Changes(store_watch::wait_for_changes(&self.shared, req).await)
             }
+            message::Request::ReportStatement(statement) => {
+                availability::record_statement(&self.shared, &statement);
+                message::Response::Accepted
+            }
             _ => message::Response::Unsupported,
         }
     }
--- a/limpetkeeld/src/relay/preparation.rs
+++ b/limpetkeeld/src/relay/preparation.rs
@@ -8,9 +8,12 @@
     RelayedRequest, RequestId, Routed, Sent, StalePlan, UpstreamName,
 };
 
-use crate::relay::{
-    availability, caller_request, drain, planning, request_summary, reservations, retry_budget,
-    shared, upstream,
+use crate::{
+    peer::message,
+    relay::{
+        availability, caller_request, drain, path, planning, request_summary, reservations,
+        retry_budget, shared, upstream,
+    },
 };
 
 /// Time between plan requests while the pool has no capacity.
@@ -195,7 +198,7 @@
     check_tables(shared, pool, plan, &mut processes)?;
     check_available(shared, plan)?;
     let reserving = reservations::HelperGroup::reserve(shared, plan.id, &plan.helpers);
-    let connecting = upstream::Connection::open(shared.settings.source(), plan.lead.address);
+    let connecting = path::connect(shared, &plan.lead, message::TunnelPurpose::Request);
     let (group, connection) = tokio::join!(reserving, connecting);
     let connection = connection.map_err(|e| PreparationFailure::Unusable {
         at_fault: plan.lead.upstream.clone(),
--- a/limpetkeeld/src/relay/reservations.rs
+++ b/limpetkeeld/src/relay/reservations.rs
@@ -1,10 +1,10 @@
 //! Reserves memory on helper engines for the duration of a request.
 
-use std::{net, sync, time};
+use std::{sync, time};
 
-use limpetkeel::{Helper, Millis, RequestId, Tokens, UpstreamName};
+use limpetkeel::{Helper, Millis, RequestId, Tokens, UpstreamAddress, UpstreamName};
 
-use crate::relay::{port, shared, task, upstream};
+use crate::relay::{path, port, shared, task, upstream};
 
 /// Lifetime of a reservation. Reservations of a crashed instance expire within the four seconds for
 /// which memory may stay reserved on an engine without a request.
@@ -16,7 +16,7 @@
 /// A memory reservation on an engine.
 #[derive(Clone)]
 struct Reservation {
-    address: net::SocketAddr,
+    engine: UpstreamAddress,
     id: port::ReservationId,
     tokens: Tokens,
 }
@@ -60,13 +60,12 @@
         };
         let mut upstreams = Vec::new();
         for (index, helper) in helpers.iter().enumerate() {
-            let address = helper.engine.address;
             let reservation = helper.reserve.map(|tokens| {
                 let id = port::ReservationId(format!("{id}-{index}").into());
                 // Recorded before the call, because a reservation whose response is lost may still
                 // have taken effect and must be released.
                 group.reservations.push(Reservation {
-                    address,
+                    engine: helper.engine.clone(),
                     id: id.clone(),
                     tokens,
                 });
@@ -74,7 +73,7 @@
                 id
             });
             group.helpers.push(port::HelperRef {
-                address,
+                address: helper.engine.address,
                 reservation,
             });
         }
@@ -111,10 +110,8 @@
             tokio::spawn(async move {
                 let req = shared
                     .codec
-                    .encode_release(reservation.address, &reservation.id);
-                if let Err(e) =
-                    upstream::send_order(shared.settings.source(), reservation.address, req).await
-                {
+                    .encode_release(reservation.engine.address, &reservation.id);
+                if let Err(e) = path::send_order(&shared, &reservation.engine, req).await {
                     // The reservation expires by itself.
                     tracing::info!(event = "release_unanswered", reservation = %reservation.id.0, error = ?e);
                 }
@@ -125,17 +122,17 @@
 
 /// Makes or renews a reservation and counts the result.
 async fn reserve_memory(
-    shared: &shared::Shared,
+    shared: &sync::Arc<shared::Shared>,
     reservation: &Reservation,
 ) -> Result<port::ReservationStatus, upstream::Error> {
     let codec = &shared.codec;
     let req = codec.encode_reserve(
-        reservation.address,
+        reservation.engine.address,
         &reservation.id,
         reservation.tokens,
         RESERVATION_LIFETIME,
     );
-    let status = upstream::send_order(shared.settings.source(), reservation.address, req).await;
+    let status = path::send_order(shared, &reservation.engine, req).await;
     let reserved = status.map(|status| codec.decode_reserve(status));
     let label = match &reserved {
         Ok(port::ReservationStatus::Reserved) => "held",
--- a/limpetkeeld/src/relay/response_body.rs
+++ b/limpetkeeld/src/relay/response_body.rs
@@ -13,6 +13,8 @@
 pub enum Error {
     /// The connection broke.
     Broken,
+    /// The tunnel to the upstream broke.
+    PathBroken,
     /// The body exceeds a limit.
     LimitExceeded(ResponseLimit),
     /// The instance has no memory for the body.
@@ -20,8 +22,11 @@
 }
 
 impl From<upstream::Error> for Error {
-    fn from(_: upstream::Error) -> Error {
-        Error::Broken
+    fn from(e: upstream::Error) -> Error {
+        match e {
+            upstream::Error::PathBroken => Error::PathBroken,
+            _ => Error::Broken,
+        }
     }
 }
 
--- a/limpetkeeld/src/relay/shared.rs
+++ b/limpetkeeld/src/relay/shared.rs
@@ -9,7 +9,7 @@
     Contact, EvacuationList, Hedging, Ingress, InstanceName, InstanceRegistry, LockLevel,
     OrderedMutex, Planner, PoolName, QuarantineList, ReportedPlan, RequestId, RetryLimit,
     RetryWindow, Revision, StoreChangeLog, StoreFollower, Timestamp, UpstreamAvailability,
-    UpstreamRegistry,
+    UpstreamPaths, UpstreamRegistry,
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -158,6 +158,8 @@
     pub hedging: OrderedMutex<Hedging>,
     /// Lock order 7 (`LockLevel::UpstreamAvailability`).
     pub availability: OrderedMutex<UpstreamAvailability>,
+    /// Lock order 7 (`LockLevel::UpstreamAvailability`), never locked together with `availability`.
+    pub paths: OrderedMutex<UpstreamPaths>,
     /// Lock order 8 (`LockLevel::Connections`).
     pub connections: OrderedMutex<caller_connection::Connections>,
     /// Lock order 9 (`LockLevel::Memory`), the last.
@@ -215,6 +217,7 @@
                 LockLevel::UpstreamAvailability,
                 UpstreamAvailability::default(),
             ),
+            paths: OrderedMutex::new(LockLevel::UpstreamAvailability, UpstreamPaths::default()),
             connections: OrderedMutex::new(
                 LockLevel::Connections,
                 caller_connection::Connections::new(
--- a/limpetkeeld/src/relay/store_watch.rs
+++ b/limpetkeeld/src/relay/store_watch.rs
@@ -339,7 +339,10 @@
         tables.quarantines.remove_expired(now);
         evacuation::remove_expired(&shared, &mut tables);
         shared.membership.lock().instances.remove_expired(now);
-        let mut availability = shared.availability.lock();
-        availability.remove_expired(now, &tables.upstreams);
+        shared
+            .availability
+            .lock()
+            .remove_expired(now, &tables.upstreams);
+        shared.paths.lock().remove_expired(now, &tables.upstreams);
     }
 }
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -34,6 +34,8 @@
     Stalled,
     /// The connection broke.
     Broken,
+    /// The tunnel to the upstream broke.
+    PathBroken,
     /// The stream begins with an event that cannot be first.
     NotEvents,
     /// An event exceeds its limit, or the stream contains bytes that are not an event.
@@ -45,6 +47,13 @@
 }
 
 impl Failure {
+    fn from_upstream_error(e: upstream::Error) -> Failure {
+        match e {
+            upstream::Error::PathBroken => Failure::PathBroken,
+            _ => Failure::Broken,
+        }
+    }
+
     fn from_queue_error(e: event_queue::Error) -> Failure {
         match e {
             event_queue::Error::Closed => Failure::CallerDisconnected,
@@ -129,7 +138,8 @@
                 self.first_event = Some(event);
                 return Ok(());
             }
-            let received = self.response.next().await.map_err(|_| Failure::Broken)?;
+            let received = self.response.next().await;
+            let received = received.map_err(Failure::from_upstream_error)?;
             let bytes = received.ok_or(Failure::Broken)?;
             let pushed = self.buffer.push(&bytes);
             pushed.map_err(|MemoryExhausted| Failure::NoMemory)?;
@@ -179,7 +189,7 @@
                 deadline += gap_timeout;
                 continue;
             };
-            match received.map_err(|_| Failure::Broken)? {
+            match received.map_err(Failure::from_upstream_error)? {
                 Some(bytes) => {
                     let pushed = self.buffer.push(&bytes);
                     pushed.map_err(|MemoryExhausted| Failure::NoMemory)?;
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -1,5 +1,5 @@
 //! Connections to upstreams. Each request uses its own connection, so that a response cannot be
-//! matched to the wrong request.
+//! matched to the wrong request. [`path`](crate::relay::path) decides how it is established.
 
 mod bounded_stream;
 
@@ -13,17 +13,14 @@
     client::conn::http1,
 };
 use hyper_util::rt;
-use limpetkeel::ResponseLimit;
+use limpetkeel::{Contact, ResponseLimit};
 
-use crate::relay::task;
+use crate::{peer::tunnel, relay::task};
 
 /// Timeout for establishing a connection. Ten round trips to another availability zone. A lost SYN
 /// packet is retransmitted only after one second, by when another upstream has responded.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(120);
 
-/// Timeout for an order, including the connection.
-const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
-
 /// Idle time before the first TCP keepalive probe: the minimum that the operating system accepts.
 const KEEPALIVE_IDLE: time::Duration = time::Duration::from_secs(1);
 
@@ -89,6 +86,8 @@
     NotConnected(ConnectError),
     /// The connection broke.
     Broken,
+    /// The tunnel through a peer broke. Nothing is known of the connection to the upstream.
+    PathBroken,
     /// The response is not valid HTTP.
     Malformed,
     /// The response heads exceed a limit.
@@ -141,7 +140,7 @@
         loop {
             match self.body.frame().await {
                 None => return Ok(None),
-                Some(Err(_)) => return Err(Error::Broken),
+                Some(Err(e)) => return Err(classify_error(&e)),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
@@ -156,10 +155,11 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: task::AbortOnDrop,
+    peer: Option<Contact>,
 }
 
 impl Connection {
-    /// Connects from `source` to an upstream and enables TCP keepalive.
+    /// Connects from `source` to an upstream.
     ///
     /// # Errors
     ///
@@ -168,13 +168,27 @@
         source: net::IpAddr,
         address: net::SocketAddr,
     ) -> Result<Connection, ConnectError> {
-        let socket = new_socket(source, address)?;
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address))
-            .await
-            .map_err(|_| ConnectError::TimedOut)??;
-        stream.set_nodelay(true)?;
-        enable_keepalive(&stream)?;
-        let stream = bounded_stream::BoundedStream::new(stream);
+        let stream = connect(source, address).await?;
+        Connection::start(bounded_stream::Transport::Direct(stream), None).await
+    }
+
+    /// Uses a connection to an upstream that a peer has established.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client cannot be started. Nothing was sent.
+    pub async fn through(
+        peer: Contact,
+        stream: tunnel::TunnelStream,
+    ) -> Result<Connection, ConnectError> {
+        Connection::start(bounded_stream::Transport::Tunnel(stream), Some(peer)).await
+    }
+
+    async fn start(
+        transport: bounded_stream::Transport,
+        peer: Option<Contact>,
+    ) -> Result<Connection, ConnectError> {
+        let stream = bounded_stream::BoundedStream::new(transport);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(rt::TokioIo::new(stream))
@@ -184,7 +198,16 @@
             // An error also fails the request that is waiting on this connection.
             let _ = connection.await;
         });
-        Ok(Connection { sender, driver })
+        Ok(Connection {
+            sender,
+            driver,
+            peer,
+        })
+    }
+
+    /// Returns the peer that has established the connection, or `None` if this instance has.
+    pub fn peer(&self) -> Option<&Contact> {
+        self.peer.as_ref()
     }
 
     /// Sends the request, which consumes the connection, and waits for the response head.
@@ -203,10 +226,31 @@
     }
 }
 
-/// Returns the reason why no response head was received.
+/// Connects from `source` to an upstream and enables TCP keepalive.
+///
+/// # Errors
+///
+/// Returns the reason why the connection could not be established. Nothing was sent.
+pub async fn connect(
+    source: net::IpAddr,
+    address: net::SocketAddr,
+) -> Result<tokio::net::TcpStream, ConnectError> {
+    let socket = new_socket(source, address)?;
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address))
+        .await
+        .map_err(|_| ConnectError::TimedOut)??;
+    stream.set_nodelay(true)?;
+    enable_keepalive(&stream)?;
+    Ok(stream)
+}
+
+/// Returns the reason why a response was not received.
 fn classify_error(e: &hyper::Error) -> Error {
     let source = error::Error::source(e).and_then(|source| source.downcast_ref::<io::Error>());
     let source = source.and_then(io::Error::get_ref);
+    if source.is_some_and(|source| source.is::<tunnel::LinkBroken>()) {
+        return Error::PathBroken;
+    }
     let limit = source.and_then(|source| source.downcast_ref::<ResponseLimit>());
     if let Some(limit) = limit {
         return Error::LimitExceeded(*limit);
@@ -256,23 +300,3 @@
         .with_retries(KEEPALIVE_RETRIES);
     socket2::SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
-
-/// Sends an order from `source` and returns the status of the response.
-///
-/// # Errors
-///
-/// Returns an error if no response arrives. The order may have been accepted, or may still be.
-pub async fn send_order(
-    source: net::IpAddr,
-    address: net::SocketAddr,
-    req: http::Request<Bytes>,
-) -> Result<http::StatusCode, Error> {
-    let response = async {
-        let connection = Connection::open(source, address)
-            .await
-            .map_err(Error::NotConnected)?;
-        Ok(connection.send(req).await?.head.status)
-    };
-    let result = tokio::time::timeout(ORDER_TIMEOUT, response).await;
-    result.unwrap_or(Err(Error::TimedOut))
-}
--- a/limpetkeeld/src/relay/upstream/bounded_stream.rs
+++ b/limpetkeeld/src/relay/upstream/bounded_stream.rs
@@ -6,6 +6,8 @@
 use limpetkeel::{Bytes, HeadAllowance, ResponseLimit};
 use tokio::{io as async_io, net};
 
+use crate::peer::tunnel;
+
 /// Maximum number of bytes that are read before other tasks get their turn. An upstream that always
 /// has data must not hold up the other connections of the thread.
 const MAX_TURN_BYTES: usize = 64 * 1024;
@@ -13,11 +15,83 @@
 /// The position of the first digit of the status in a status line.
 const STATUS_CLASS_POSITION: usize = "HTTP/1.1 ".len();
 
-/// A TCP stream on which one response is received.
+/// The bytes of a connection to an upstream.
+pub enum Transport {
+    /// A connection of this instance.
+    Direct(net::TcpStream),
+    /// A connection of a peer.
+    Tunnel(tunnel::TunnelStream),
+}
+
+impl async_io::AsyncRead for Transport {
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut async_io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        match self.get_mut() {
+            Transport::Direct(stream) => pin::Pin::new(stream).poll_read(cx, buf),
+            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_read(cx, buf),
+        }
+    }
+}
+
+impl async_io::AsyncWrite for Transport {
+    fn poll_write(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Transport::Direct(stream) => pin::Pin::new(stream).poll_write(cx, buf),
+            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_write(cx, buf),
+        }
+    }
+
+    fn poll_write_vectored(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Transport::Direct(stream) => pin::Pin::new(stream).poll_write_vectored(cx, bufs),
+            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_write_vectored(cx, bufs),
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        match self {
+            Transport::Direct(stream) => stream.is_write_vectored(),
+            Transport::Tunnel(stream) => stream.is_write_vectored(),
+        }
+    }
+
+    fn poll_flush(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        match self.get_mut() {
+            Transport::Direct(stream) => pin::Pin::new(stream).poll_flush(cx),
+            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_flush(cx),
+        }
+    }
+
+    fn poll_shutdown(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        match self.get_mut() {
+            Transport::Direct(stream) => pin::Pin::new(stream).poll_shutdown(cx),
+            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_shutdown(cx),
+        }
+    }
+}
+
+/// A transport on which one response is received.
 ///
 /// The HTTP client skips interim heads in a loop without a bound, so the heads are counted here.
 pub struct BoundedStream {
-    stream: net::TcpStream,
+    stream: Transport,
     /// The heads; `None` after the final one.
     heads: Option<HeadScanner>,
     turn_bytes: usize,
@@ -25,7 +99,7 @@
 
 impl BoundedStream {
     /// Wraps a connection on which no response has begun.
-    pub fn new(stream: net::TcpStream) -> BoundedStream {
+    pub fn new(stream: Transport) -> BoundedStream {
         BoundedStream {
             stream,
             heads: Some(HeadScanner::default()),
