--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -89,6 +89,8 @@
     pub body: Vec<u8>,
     /// Whether the upstream ran it.
     pub ran: bool,
+    /// The address of its sender.
+    pub source: net::IpAddr,
 }
 
 impl ReceivedRequest {
@@ -172,7 +174,7 @@
         // A duplicate, since the connection is borrowed while it is served.
         let control = socket2::SockRef::from(&stream).try_clone().ok()?;
         let control = tcp::TcpStream::from_std(control.into()).ok()?;
-        let serving = self.serve(&mut stream);
+        let serving = self.serve(&mut stream, source);
         tokio::pin!(serving);
         loop {
             let fault = tokio::select! {
@@ -243,10 +245,10 @@
     }
 
     /// Handles the one request of a connection. Returns `None` if the connection fails.
-    async fn serve(&self, stream: &mut tcp::TcpStream) -> Option<()> {
+    async fn serve(&self, stream: &mut tcp::TcpStream, source: net::IpAddr) -> Option<()> {
         let head = http::read_head(stream).await?;
         let behavior = self.state.lock().behavior.unwrap_or(Behavior::Normal);
-        let mut request = http::parse_head(&head.text);
+        let mut request = http::parse_head(&head.text, source);
         if behavior == Behavior::EarlyResponse {
             request.ran = true;
             let id = request.id.clone();
--- a/standins/src/deployment/upstream/http.rs
+++ b/standins/src/deployment/upstream/http.rs
@@ -1,9 +1,9 @@
 //! The HTTP messages of the upstream stand-in.
 
-use std::collections;
+use std::{collections, net};
 
 use platform::names;
-use tokio::{io::AsyncReadExt as _, net};
+use tokio::{io::AsyncReadExt as _, net as tcp};
 
 use crate::deployment::upstream;
 
@@ -39,7 +39,7 @@
 }
 
 /// Reads a connection up to the end of the request head.
-pub(super) async fn read_head(stream: &mut net::TcpStream) -> Option<Head> {
+pub(super) async fn read_head(stream: &mut tcp::TcpStream) -> Option<Head> {
     let mut bytes = Vec::new();
     loop {
         let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
@@ -58,7 +58,7 @@
 }
 
 /// Parses a request head; the body is left empty.
-pub(super) fn parse_head(text: &str) -> upstream::ReceivedRequest {
+pub(super) fn parse_head(text: &str, source: net::IpAddr) -> upstream::ReceivedRequest {
     let mut lines = text.lines();
     let request_line = lines.next().unwrap_or_default().to_owned();
     let headers: collections::BTreeMap<_, _> = lines
@@ -72,5 +72,6 @@
         headers,
         body: Vec::new(),
         ran: false,
+        source,
     }
 }
