Do not end a tunnel as complete after its connection was reset

What callers would have seen: the part of a response that arrived before a reset as a complete answer, if it had no length and its request was still being uploaded through a peer. Cause: the system reports the reset of a connection once. If a write of the upload met it, the next read of the response found the end of the bytes instead. Evidence: four of the five new cases got 200 with the part through a peer; all passed on a direct connection, where one task reads and writes and ends with either error. Change: once a write to the upstream has failed, the end of its bytes does not count as the end of the response.

--- a/limpetkeeld/src/peer/tunnel.rs
+++ b/limpetkeeld/src/peer/tunnel.rs
@@ -255,13 +255,19 @@
             }
         }
     };
-    match downloaded {
-        Ended::Complete if uploaded.is_none() => {
+    match (downloaded, uploaded) {
+        // The system reports a reset once. If a write has met it, a read finds the end of the bytes.
+        (Ended::Complete, Some(Ended::UpstreamBroke)) | (Ended::UpstreamBroke, _) => {
+            send.send_reset(UPSTREAM_BROKE);
+        }
+        (Ended::Complete, uploaded) => {
+            let ended = send.send_data(Bytes::new(), true);
             // An upstream may stop sending before it has read everything.
-            uploading.await;
+            if ended.is_ok() && uploaded.is_none() {
+                uploading.await;
+            }
         }
-        Ended::UpstreamBroke => send.send_reset(UPSTREAM_BROKE),
-        Ended::Complete | Ended::Abandoned => {}
+        (Ended::Abandoned, _) => {}
     }
     drop(guard);
 }
@@ -283,7 +289,7 @@
     }
 }
 
-/// Copies bytes from the upstream. Nothing is read before it can be sent.
+/// Copies bytes from the upstream, up to their end. Nothing is read before it can be sent.
 async fn download(reader: &mut tcp::OwnedReadHalf, send: &mut h2::SendStream<Bytes>) -> Ended {
     loop {
         let waiting = future::poll_fn(|cx| poll_capacity(send, cx, CHUNK_BYTES));
@@ -299,11 +305,11 @@
         let Ok(len) = read else {
             return Ended::UpstreamBroke;
         };
-        if send.send_data(buf.freeze(), len == 0).is_err() {
-            return Ended::Abandoned;
-        }
         if len == 0 {
             return Ended::Complete;
         }
+        if send.send_data(buf.freeze(), false).is_err() {
+            return Ended::Abandoned;
+        }
     }
 }
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -74,6 +74,8 @@
     EarlyResponse,
     /// Runs the request, unless the response declines it, and sends a scripted response.
     Scripted(scripted::Script),
+    /// Runs the request, and sends a scripted response before it has read the body.
+    ScriptedEarly(scripted::Script),
 }
 
 /// A request as an upstream received it.
@@ -257,6 +259,13 @@
             stream.write_all(response.as_bytes()).await.ok()?;
             return Some(());
         }
+        if let Behavior::ScriptedEarly(script) = behavior {
+            request.ran = true;
+            let id = request.id.clone();
+            self.state.lock().received.push(request);
+            script.send(stream, &self.name, &id).await;
+            return Some(());
+        }
         let content_length = request.headers.get("content-length");
         let content_length = content_length
             .and_then(|text| text.parse().ok())
--- /dev/null
+++ b/standins/tests/relay_mixed.rs
@@ -0,0 +1,102 @@
+//! Tests of responses that must not reach a caller as an answer of the upstream.
+
+use standins::deployment::{
+    daemon::{self, CallerResponse, Deployment},
+    options::DaemonOptions,
+    scripted::{End, Script},
+    table::Table,
+    upstream::{Behavior, PathFault},
+};
+use test_case::test_case;
+
+/// The length of a request body that an upstream that does not read it cannot buffer, in bytes.
+const LONG_BODY_BYTES: usize = 8 << 20;
+
+/// How the request reaches the upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Path {
+    Direct,
+    ThroughPeer,
+}
+
+/// Starts a deployment with one upstream, which the first instance reaches on a path.
+async fn start(path: Path) -> Deployment {
+    let table = Table {
+        max_body_bytes: 2 * LONG_BODY_BYTES as u64,
+        ..Table::default()
+    };
+    let options = DaemonOptions {
+        memory_limit_mb: 256.0,
+        ..DaemonOptions::default()
+    };
+    let deployment = Deployment::start_with(2, 1, options, &table).await;
+    let deployment = deployment.expect("deployment");
+    if path == Path::ThroughPeer {
+        daemon::wait_until("the instances know each other", async || {
+            deployment.log().matches("event=registered").count() == 2
+        })
+        .await
+        .expect("registered");
+        let source = daemon::source_address(0);
+        let set = deployment.upstreams[0].set_path_fault(source, Some(PathFault::RefuseNew));
+        set.expect("packet filter");
+        daemon::wait_until("the path is severed", async || {
+            deployment.get_status(0, "/look/x").await;
+            deployment.log().contains("event=path_severed")
+        })
+        .await
+        .expect("severed");
+    }
+    deployment
+}
+
+/// Sends a request with a body and returns the response; `None` if the connection ends without one.
+async fn send(
+    deployment: &Deployment,
+    method: &str,
+    path: &str,
+    body_len: usize,
+) -> Option<CallerResponse> {
+    let req = deployment.request(0, method, path, "id1");
+    let response = deployment.send(req.body(vec![b'a'; body_len])).await;
+    response.ok()
+}
+
+fn is_complete_success(response: Option<&CallerResponse>) -> bool {
+    response.is_some_and(|response| response.status == 200 && response.body.is_some())
+}
+
+/// Guards against a part of a response that reaches the caller as a complete one.
+#[test_case("POST", "/book/x", "HTTP/1.1 200 OK\r\n{own}\r\na part", End::Reset; "complete response, reset")]
+#[test_case("POST", "/book/x", "HTTP/1.1 200 OK\r\n{own}\r\na part", End::Close; "complete response, closed with unread bytes")]
+#[test_case("PUT", "/look/x", "HTTP/1.1 200 OK\r\n{own}\r\na part", End::Reset; "idempotent request, reset")]
+#[test_case("POST", "/book/x", "HTTP/1.1 200 OK\r\n{own}\r\n", End::Reset; "no byte of the body, reset")]
+#[test_case(
+    "POST", "/stream/x",
+    "HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n", End::Reset;
+    "stream, reset"
+)]
+#[tokio::test]
+async fn a_response_to_an_upload_that_breaks_off_does_not_look_complete(
+    method: &str,
+    path: &str,
+    text: &'static str,
+    end: End,
+) {
+    for way in [Path::Direct, Path::ThroughPeer] {
+        let deployment = start(way).await;
+        deployment.set_behavior(Behavior::ScriptedEarly(Script { text, end }));
+        let response = send(&deployment, method, path, LONG_BODY_BYTES).await;
+        assert!(
+            !is_complete_success(response.as_ref()),
+            "{way:?}: {response:?}"
+        );
+        if path == "/book/x" {
+            let status = response.map(|response| response.status);
+            assert!(
+                ![Some(429), Some(503)].contains(&status),
+                "{way:?}: {status:?}"
+            );
+        }
+    }
+}
