Treat a status above 599 as a malformed response

What callers saw: a signed answer with a status such as 600 or 999, which no class of HTTP defines. Cause: the HTTP client accepts every number of three digits from 100 on; only what is below was rejected, so a status of 000 did not reach callers. Evidence: two of seven new cases (600 and 999) passed the number on; 000, 099, 20, 2000 and abc were answered with 502 before. Change: a status above 599 breaks the attempt like any other malformed response. Result: the seven cases pass.

--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -33,6 +33,9 @@
 /// deadline ends that attempt before its own timeout does.
 const LAST_ATTEMPT_MARGIN: Millis = Millis(1_000);
 
+/// The highest status that HTTP defines a class for.
+const MAX_STATUS: u16 = 599;
+
 /// Maximum timeout as a share of the remaining time, so that a retry still has time.
 const MAX_TIMEOUT_SHARE: f64 = 0.45;
 
@@ -256,8 +259,9 @@
                 }
                 _ => Failure::Failed(Cause::Broken),
             })?;
-        if response.head.status.is_informational() {
-            // The request offers no upgrade.
+        let status = response.head.status;
+        // The request offers no upgrade, and the HTTP client accepts numbers up to 999.
+        if status.is_informational() || status.as_u16() > MAX_STATUS {
             return Err(Failure::Failed(Cause::Broken));
         }
         let response_head = shared.codec.decode_response(&response.head);
@@ -285,7 +289,7 @@
         if own_id != Some(true) || !response_head.signed || response.is_encoded() {
             return Err(Failure::Failed(Cause::Mismatched));
         }
-        let success = response.head.status.is_success();
+        let success = status.is_success();
         if success && request.admission.route.form() == ResponseForm::Stream {
             if !response.may_contain_events() {
                 return Err(Failure::Failed(Cause::NotEvents));
--- a/standins/tests/relay_mixed.rs
+++ b/standins/tests/relay_mixed.rs
@@ -100,3 +100,27 @@
         }
     }
 }
+
+/// Guards against a status that HTTP does not know.
+#[test_case("HTTP/1.1 000 Nothing\r\n{own}content-length: 2\r\n\r\nab"; "zero")]
+#[test_case("HTTP/1.1 099 Low\r\n{own}content-length: 2\r\n\r\nab"; "below the first class")]
+#[test_case("HTTP/1.1 600 High\r\n{own}content-length: 2\r\n\r\nab"; "above the last class")]
+#[test_case("HTTP/1.1 999 Highest\r\n{own}content-length: 2\r\n\r\nab"; "the highest number")]
+#[test_case("HTTP/1.1 20 Short\r\n{own}content-length: 2\r\n\r\nab"; "two digits")]
+#[test_case("HTTP/1.1 2000 Long\r\n{own}content-length: 2\r\n\r\nab"; "four digits")]
+#[test_case("HTTP/1.1 abc Text\r\n{own}content-length: 2\r\n\r\nab"; "no number")]
+#[tokio::test]
+async fn a_status_that_does_not_exist_is_no_answer(text: &'static str) {
+    let deployment = start(Path::Direct).await;
+    let end = End::Open;
+    deployment.set_behavior(Behavior::Scripted(Script { text, end }));
+    for (method, path) in [
+        ("POST", "/book/x"),
+        ("GET", "/look/x"),
+        ("POST", "/stream/x"),
+    ] {
+        let response = send(&deployment, method, path, 4).await.expect("response");
+        assert_eq!(response.status, 502, "{path}: {response:?}");
+        assert_eq!(response.signed_by, None, "{path}: {response:?}");
+    }
+}
