--- a/limpetkeel/tests/upstream_path.rs
+++ b/limpetkeel/tests/upstream_path.rs
@@ -1,6 +1,7 @@
 //! Tests of the network paths from an instance to upstreams.
 
 #[path = "fixtures/registry.rs"]
+#[expect(dead_code, reason = "other tests use the rest of the fixture")]
 mod registry;
 
 use limpetkeel::{
