Continue a paused stream if a second attempt is refused

What callers saw: a stream that ended in the middle while its upstream was at work (LOST), also under planned work alone. Cause: a stream without an event for 60 % of the tolerated gap is set aside for a second attempt. If that was refused, the stream was run again with a deadline that had passed, counted as stalled at once, since a retry was still allowed, and was dropped. Change: a stream that is continued after all other attempts has no deadline for its next event; it ends with the request.

--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -382,7 +382,8 @@
         Begun::Complete(response) => return Ok(Some(response)),
         Begun::Stream(stream) => stream,
     };
-    let forwarding = stream.run(shared, request, relayed, response_deadline, context, writer);
+    let deadline = Some(response_deadline);
+    let forwarding = stream.run(shared, request, relayed, deadline, context, writer);
     match forwarding.await {
         Ok(()) => Ok(None),
         Err(stream::Failure::Stalled) => Err(Failure::Stalled(stream)),
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -340,7 +340,6 @@
 ) -> Option<Completion> {
     let mut standby = standby?;
     let mut sent = relayed.continue_attempt(standby.plan);
-    let first_event_deadline = tokio::time::Instant::now();
     let context = stream::StreamContext {
         plan_guard: &mut standby.plan_guard,
         standby: &mut None,
@@ -348,12 +347,9 @@
     let result = standby
         .stream
         .run(
-            shared,
-            request,
-            &mut sent,
-            first_event_deadline,
-            context,
-            writer,
+            shared, request, &mut sent,
+            // The other attempts have failed, so that nothing is gained by giving this one up.
+            None, context, writer,
         )
         .await;
     match result {
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -152,13 +152,13 @@
     ///
     /// Returns an error if the stream breaks off or the caller disconnects, and
     /// [`Failure::Stalled`] if no event arrives in time while a retry is possible. A stalled stream
-    /// stays open.
+    /// stays open. Without a deadline, the stream never counts as stalled.
     pub async fn run(
         &mut self,
         shared: &shared::Shared,
         request: &caller_request::CallerRequest,
         relayed: &mut RelayedRequest<Sent>,
-        first_event_deadline: tokio::time::Instant,
+        first_event_deadline: Option<tokio::time::Instant>,
         context: StreamContext<'_>,
         writer: &mut response_writer::ResponseWriter,
     ) -> Result<(), Failure> {
@@ -166,7 +166,7 @@
         let mut deadline = first_event_deadline;
         loop {
             while let Some(event) = self.next_event()? {
-                deadline = tokio::time::Instant::now() + gap_timeout;
+                deadline = deadline.map(|_| tokio::time::Instant::now() + gap_timeout);
                 if !self.event_received && !can_begin(&event, relayed) {
                     return Err(Failure::NotEvents);
                 }
@@ -179,14 +179,18 @@
                     forwarded.await.map_err(Failure::from_queue_error)?;
                 }
             }
-            let received = tokio::time::timeout_at(deadline, self.response.next()).await;
+            let receiving = self.response.next();
+            let received = match deadline {
+                Some(deadline) => tokio::time::timeout_at(deadline, receiving).await,
+                None => Ok(receiving.await),
+            };
             let Ok(received) = received else {
                 drain::limit_deadline(shared, relayed);
                 if retry_budget::may_retry(shared, relayed) {
                     return Err(Failure::Stalled);
                 }
                 // Aborting a stalled stream gains nothing if the request cannot be retried.
-                deadline += gap_timeout;
+                deadline = deadline.map(|deadline| deadline + gap_timeout);
                 continue;
             };
             match received.map_err(Failure::from_upstream_error)? {
--- a/standins/tests/availability.rs
+++ b/standins/tests/availability.rs
@@ -277,3 +277,30 @@
     }
     assert_eq!(received_counts(&deployment), [1, 1]);
 }
+
+/// Guards against a stream that is cut in the middle while its upstream is at work.
+#[test_case(None; "in service")]
+#[test_case(Some("TERM"); "while the instance drains")]
+#[tokio::test]
+async fn a_stream_that_pauses_goes_on_if_a_second_attempt_is_refused(signal: Option<&str>) {
+    let deployment = Deployment::start(1, 1).await.expect("deployment");
+    let upstream = &deployment.upstreams[0];
+    // Callers of the route tolerate a gap of 2 s.
+    upstream.set_behavior(Behavior::GapAfterTwo(1_600));
+    let req = deployment.request(0, "POST", "/stream/x", "paused");
+    let waiting = tokio::spawn(async move { req.send().await?.text().await });
+    daemon::wait_until("the stream has begun", async || {
+        deployment.run_count("paused") > 0
+    })
+    .await
+    .expect("begun");
+    upstream.set_behavior(Behavior::DeclineFor(30_000));
+    assert_eq!(get(&deployment, 0, "declined").await.status, 503);
+    if let Some(signal) = signal {
+        let process = &deployment.daemons[0].process;
+        process.send_signal(signal).expect("signal");
+    }
+    let body = waiting.await.expect("task").expect("a complete stream");
+    assert_eq!(body, upstream::complete_stream());
+    assert_eq!(deployment.run_count("paused"), 1);
+}
