Do not sever a path for an attempt that began before its return

What happened: shortly after the paths of an instance were back, one was severed and restored again, up to three times within 40 ms, and a request more went through a peer. Cause: an attempt to connect whose first packet was lost in the cut failed 120 ms later, after a newer connection had restored the path. Change: UpstreamPaths remembers when the instance last connected; a failure of an attempt that began before says nothing. The peer that carries a stream is found by the source that the upstream saw, not by an older log line; and enough requests at a time make the planner use both upstreams, as sequential ones all go to the first.

--- a/limpetkeel/src/upstream_path.rs
+++ b/limpetkeel/src/upstream_path.rs
@@ -23,11 +23,16 @@
 /// The most peers that are asked for one connection.
 const MAX_CANDIDATES: usize = 4;
 
+/// How long the time of a connection is remembered. An attempt to connect takes less.
+const CONNECTION_RETENTION: unit::Millis = unit::Millis(1_000);
+
 /// The state of a path on which the instance connects by itself.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Direct {
     /// The time until which no peer is asked, since none reached the upstream.
     search_after: unit::Timestamp,
+    /// When the instance last connected, if that is remembered.
+    connected_at: Option<unit::Timestamp>,
 }
 
 /// The state of a path on which only a peer connects.
@@ -43,10 +48,13 @@
 }
 
 impl Path<Direct> {
-    fn new(search_after: unit::Timestamp) -> Path<Direct> {
-        Path {
-            state: Direct { search_after },
-        }
+    fn new(state: Direct) -> Path<Direct> {
+        Path { state }
+    }
+
+    /// Returns `true` if the instance has connected since `started`.
+    fn has_connected_since(&self, started: unit::Timestamp) -> bool {
+        self.state.connected_at.is_some_and(|at| at >= started)
     }
 
     fn sever(self, peer: name::InstanceName) -> Path<Severed> {
@@ -57,10 +65,8 @@
 }
 
 impl Path<Severed> {
-    fn change_peer(self, peer: name::InstanceName) -> Path<Severed> {
-        Path {
-            state: Severed { peer },
-        }
+    fn change_peer(&mut self, peer: name::InstanceName) {
+        self.state.peer = peer;
     }
 }
 
@@ -124,30 +130,54 @@
     /// Records that the instance itself has connected to an upstream. The other severed paths may
     /// be probed at once. Returns `true` if the path was severed.
     pub fn record_direct(&mut self, now: unit::Timestamp, upstream: &name::UpstreamName) -> bool {
-        let was_severed = matches!(self.paths.remove(upstream), Some(PathState::Severed(_)));
+        let was_severed = self.is_severed(upstream);
         if was_severed {
             self.next_probe = now;
         }
+        let path = Path::new(Direct {
+            connected_at: Some(now),
+            ..Direct::default()
+        });
+        self.paths.insert(upstream.clone(), PathState::Direct(path));
         was_severed
     }
 
-    /// Records that a peer has reached an upstream to which the instance itself cannot connect.
-    /// Returns `true` if the path was direct.
+    /// Records that a peer has reached an upstream to which the instance itself could not connect
+    /// in an attempt that began at `started`. Returns `true` if the path was direct.
+    ///
+    /// An attempt says nothing if the instance has connected since it began: packets sent before
+    /// the return of a path may be lost.
     pub fn record_severed(
         &mut self,
-        now: unit::Timestamp,
+        started: unit::Timestamp,
         upstream: &name::UpstreamName,
         peer: name::InstanceName,
     ) -> bool {
-        let path = self.paths.remove(upstream);
-        let (path, was_direct) = match path {
-            Some(PathState::Severed(path)) => (path.change_peer(peer), false),
-            Some(PathState::Direct(path)) => (path.sever(peer), true),
-            None => (Path::<Direct>::new(now).sever(peer), true),
+        let path = match self.paths.remove(upstream) {
+            Some(PathState::Direct(path)) if path.has_connected_since(started) => {
+                self.paths.insert(upstream.clone(), PathState::Direct(path));
+                return false;
+            }
+            Some(PathState::Severed(mut path)) => {
+                path.change_peer(peer);
+                self.paths
+                    .insert(upstream.clone(), PathState::Severed(path));
+                return false;
+            }
+            Some(PathState::Direct(path)) => path,
+            None => Path::new(Direct::default()),
         };
+        let path = path.sever(peer);
         self.paths
             .insert(upstream.clone(), PathState::Severed(path));
-        was_direct
+        true
+    }
+
+    /// Records that another peer reaches an upstream whose path is severed.
+    pub fn record_peer(&mut self, upstream: &name::UpstreamName, peer: name::InstanceName) {
+        if let Some(PathState::Severed(path)) = self.paths.get_mut(upstream) {
+            path.change_peer(peer);
+        }
     }
 
     /// Records that a peer did not reach an upstream, or did not respond.
@@ -165,7 +195,10 @@
     /// Records that no peer has reached an upstream.
     pub fn record_search_failure(&mut self, now: unit::Timestamp, upstream: &name::UpstreamName) {
         if !self.is_severed(upstream) {
-            let path = Path::<Direct>::new(now.after(SEARCH_BACKOFF));
+            let path = Path::new(Direct {
+                search_after: now.after(SEARCH_BACKOFF),
+                ..Direct::default()
+            });
             self.paths.insert(upstream.clone(), PathState::Direct(path));
         }
     }
@@ -225,7 +258,11 @@
     ) {
         self.failed_peers.retain(|_, until| *until > now);
         self.paths.retain(|upstream, path| match path {
-            PathState::Direct(path) => path.state.search_after > now,
+            PathState::Direct(path) => {
+                let connected_at = path.state.connected_at;
+                path.state.search_after > now
+                    || connected_at.is_some_and(|at| now.since(at) < CONNECTION_RETENTION)
+            }
             PathState::Severed(_) => registry.get(upstream).is_some(),
         });
     }
--- a/limpetkeel/tests/upstream_path.rs
+++ b/limpetkeel/tests/upstream_path.rs
@@ -54,6 +54,28 @@
     assert!(!paths.record_direct(now, &upstream));
 }
 
+#[test]
+fn an_attempt_from_before_the_return_of_a_path_does_not_sever_it() {
+    let mut paths = UpstreamPaths::default();
+    let upstream = registry::name("u");
+    let (before, back, after) = (Timestamp(1_000), Timestamp(1_050), Timestamp(1_060));
+    paths.record_severed(before, &upstream, instance("a1"));
+    assert!(paths.record_direct(back, &upstream));
+    assert!(!paths.record_severed(before, &upstream, instance("a1")));
+    assert!(!paths.is_severed(&upstream));
+    paths.remove_expired(after, &registry::registry(&["u"], 1));
+    assert!(!paths.record_severed(before, &upstream, instance("a1")));
+    assert!(paths.record_severed(after, &upstream, instance("a1")));
+}
+
+#[test]
+fn a_failed_attempt_beside_a_successful_one_does_not_sever_a_path() {
+    let mut paths = UpstreamPaths::default();
+    let upstream = registry::name("u");
+    assert!(!paths.record_direct(Timestamp(1_010), &upstream));
+    assert!(!paths.record_severed(Timestamp(1_000), &upstream, instance("a1")));
+}
+
 #[test]
 fn severed_paths_are_probed_one_after_the_other_until_one_is_back() {
     let mut paths = UpstreamPaths::default();
--- a/limpetkeeld/src/relay/path.rs
+++ b/limpetkeeld/src/relay/path.rs
@@ -9,7 +9,7 @@
 use std::{collections, sync, time};
 
 use futures_util::{StreamExt as _, stream};
-use limpetkeel::{AttemptResult, Contact, InstanceName, UpstreamAddress, UpstreamName};
+use limpetkeel::{AttemptResult, Contact, InstanceName, Timestamp, UpstreamAddress, UpstreamName};
 
 use crate::{
     peer::{message, tunnel},
@@ -49,9 +49,10 @@
         }
         return connect_directly(shared.clone(), upstream.clone()).await;
     }
+    let started = shared.clock.now();
     let mut direct = Box::pin(connect_directly(shared.clone(), upstream.clone()));
     let Ok(connected) = tokio::time::timeout(DIRECT_HEAD_START, direct.as_mut()).await else {
-        return race(shared, upstream, purpose, direct).await;
+        return race(shared, upstream, purpose, started, direct).await;
     };
     let Err(e) = connected else {
         return connected;
@@ -59,7 +60,7 @@
     let Some((peer, connection)) = connect_through_peer(shared, upstream, purpose).await else {
         return Err(e);
     };
-    record_severed(shared, &upstream.upstream, peer.name, e);
+    record_severed(shared, started, &upstream.upstream, peer.name, e);
     Ok(connection)
 }
 
@@ -69,6 +70,7 @@
     shared: &sync::Arc<shared::Shared>,
     upstream: &UpstreamAddress,
     purpose: message::TunnelPurpose,
+    started: Timestamp,
     mut direct: futures_util::future::BoxFuture<
         'static,
         Result<upstream::Connection, upstream::ConnectError>,
@@ -82,7 +84,7 @@
             Ok(connection) => return Ok(connection),
             Err(e) => {
                 let (peer, connection) = searching.await.ok_or(e)?;
-                record_severed(shared, &upstream.upstream, peer.name, e);
+                record_severed(shared, started, &upstream.upstream, peer.name, e);
                 return Ok(connection);
             }
         },
@@ -93,7 +95,7 @@
     let (shared, name) = (shared.clone(), upstream.upstream.clone());
     tokio::spawn(async move {
         if let Err(e) = direct.await {
-            record_severed(&shared, &name, peer.name, e);
+            record_severed(&shared, started, &name, peer.name, e);
         }
     });
     Ok(connection)
@@ -120,17 +122,18 @@
     Ok(connection)
 }
 
-/// Records that only a peer reaches an upstream.
+/// Records that only a peer reaches an upstream, after an attempt of the instance itself that began
+/// at `started` has failed.
 fn record_severed(
     shared: &shared::Shared,
+    started: Timestamp,
     upstream: &UpstreamName,
     peer: InstanceName,
     e: upstream::ConnectError,
 ) {
-    let now = shared.clock.now();
     let (was_direct, severed) = {
         let mut paths = shared.paths.lock();
-        let was_direct = paths.record_severed(now, upstream, peer.clone());
+        let was_direct = paths.record_severed(started, upstream, peer.clone());
         (was_direct, paths.severed_count())
     };
     if was_direct {
@@ -162,10 +165,7 @@
     let now = shared.clock.now();
     let mut paths = shared.paths.lock();
     match &found {
-        Some((peer, _)) if paths.is_severed(&upstream.upstream) => {
-            paths.record_severed(now, &upstream.upstream, peer.name.clone());
-        }
-        Some(_) => {}
+        Some((peer, _)) => paths.record_peer(&upstream.upstream, peer.name.clone()),
         None => {
             for peer in &search.unanswered {
                 paths.record_peer_failure(now, &upstream.upstream, peer);
--- a/standins/tests/tunnel.rs
+++ b/standins/tests/tunnel.rs
@@ -130,18 +130,16 @@
 #[tokio::test]
 async fn a_stream_is_resumed_through_another_peer(signal: &str, reason: &str) {
     let deployment = start_cut(2, 1, &Table::default()).await;
-    let log = deployment.log();
-    let severed = log
-        .lines()
-        .rfind(|line| line.contains("event=path_severed"));
-    let severed = severed.expect("a severed path").to_owned();
     deployment.set_behavior(Behavior::HangAfter(2));
     let req = deployment.request(CUT, "POST", "/stream/x", "resumed");
     let waiting = tokio::spawn(async move { req.send().await?.text().await });
     wait_received(&deployment, "resumed").await;
     deployment.set_behavior(Behavior::Normal);
-    let carrying = [1, 2].map(|index| severed.contains(&format!("peer=node{index}")));
-    let carrying = if carrying[0] { 1 } else { 2 };
+    let received = deployment.upstreams[0].received();
+    let request = received.iter().find(|request| request.id == "resumed");
+    let source = request.expect("the request").source;
+    let carrying = (1..3).find(|index| daemon::source_address(*index) == source);
+    let carrying = carrying.expect("a peer has passed it on");
     let process = &deployment.daemons[carrying].process;
     process.send_signal(signal).expect("signal");
     let body = waiting.await.expect("task").expect("a complete stream");
@@ -245,12 +243,15 @@
     let deployment = start_cut(1, 2, &Table::default()).await;
     set_path_faults(&deployment, CUT, None);
     daemon::wait_until("the paths are restored", async || {
-        deployment.get_status(CUT, "/look/x").await;
+        // More at a time than one upstream has slots for.
+        let requests = (0..8).map(|_| deployment.get_status(CUT, "/look/x"));
+        futures_util::future::join_all(requests).await;
         let log = deployment.log();
         log.matches("event=path_restored").count() >= 2
     })
     .await
     .expect("restored");
+    assert_eq!(deployment.log().matches("event=path_restored").count(), 2);
     let through_peer = [0, 1].map(|upstream| received_from(&deployment, upstream, PEER));
     for _ in 0..10 {
         assert_eq!(deployment.get_status(CUT, "/look/x").await, 200);
@@ -267,9 +268,17 @@
     let source = daemon::source_address(CUT);
     let set = deployment.upstreams[0].set_path_fault(source, Some(PathFault::Hang));
     set.expect("packet filter");
-    for number in 0..40 {
-        let id = format!("id{number}");
-        assert_eq!(send(&deployment, "POST", "/book/x", &id).await.status, 200);
+    // More at a time than one upstream has slots for.
+    for round in 0..4 {
+        let ids: Vec<_> = (0..10)
+            .map(|number| format!("id{round}-{number}"))
+            .collect();
+        let requests = ids
+            .iter()
+            .map(|id| send(&deployment, "POST", "/book/x", id));
+        for response in futures_util::future::join_all(requests).await {
+            assert_eq!(response.status, 200);
+        }
     }
     assert!(received_from(&deployment, 0, PEER) > 0, "through the peer");
     assert!(received_from(&deployment, 1, CUT) > 0, "directly");
