Keep requiring keys when no workspace has one

Cause: a table counted as one without workspaces if its map of keys was empty. Change: the table remembers whether it declares workspaces.

--- a/limpetkeel/src/ingress.rs
+++ b/limpetkeel/src/ingress.rs
@@ -288,8 +288,10 @@
 pub struct Ingress {
     declaration: Option<sync::Arc<Declaration>>,
     routes_by_host: collections::HashMap<sync::Arc<str>, RoutesByPrefix>,
-    /// The workspaces by API key.
+    /// The workspaces by API key. A workspace may have none.
     workspaces: collections::HashMap<sync::Arc<str>, Workspace>,
+    /// Whether the table declares workspaces.
+    uses_keys: bool,
     timings: collections::HashMap<name::PoolName, engine::EngineTiming>,
     cold_limits: collections::HashMap<name::PoolName, ColdLimit>,
     shortest_gap: Option<unit::Millis>,
@@ -354,7 +356,7 @@
             return Err(Denial::NoTable);
         }
         let route = self.route(host, path).ok_or(Denial::UnknownRoute)?;
-        let uses_keys = !self.workspaces.is_empty();
+        let uses_keys = self.uses_keys;
         let workspace = match key.and_then(|key| self.workspaces.get(key)) {
             _ if !uses_keys || route.public => None,
             None => return Err(Denial::UnknownKey),
@@ -411,6 +413,7 @@
                 ingress.timings.insert(name, timing);
             }
         }
+        ingress.uses_keys = !declaration.workspaces.is_empty();
         for workspace_declaration in &declaration.workspaces {
             let workspace = Workspace {
                 name: name::WorkspaceName::try_from(workspace_declaration.name.as_str())?,
--- a/limpetkeel/tests/ingress.rs
+++ b/limpetkeel/tests/ingress.rs
@@ -86,6 +86,28 @@
     assert_eq!(admitted.err(), Some(Denial::UnknownKey));
 }
 
+/// Guards against a deployment that is open to everyone once its last key was withdrawn.
+#[test_case(None; "missing")]
+#[test_case(Some("k1"); "withdrawn")]
+#[test_case(Some("k2"); "unknown")]
+fn no_key_is_valid_while_no_workspace_has_one(key: Option<&str>) {
+    let mut edited = declaration(2);
+    edited.workspaces[0].keys.clear();
+    let admitted = ingress(edited).admit("desk.example", "/a/", key);
+    assert_eq!(admitted.err(), Some(Denial::UnknownKey));
+}
+
+#[test]
+fn a_table_without_workspaces_needs_no_key() {
+    let mut edited = declaration(2);
+    edited.workspaces.clear();
+    let ingress = ingress(edited);
+    let admission = ingress
+        .admit("desk.example", "/a/", None)
+        .expect("admitted");
+    assert!(!admission.uses_keys);
+}
+
 #[test]
 fn a_public_route_needs_no_key_and_has_no_workspace() {
     let mut edited = declaration(1);
