Ask a hinted peer only if it is known

Cause: a peer that refuses may name the one that it uses itself. If the instance did not know that one and had no other candidate, rotating the empty queue would have panicked and ended the request with 502; with candidates, their order changed. Found by reading; not seen in a run. Change: a known peer is put in front of the queue, and nothing else happens. Result: the tests of paths and tunnels pass.

--- a/limpetkeeld/src/relay/path.rs
+++ b/limpetkeeld/src/relay/path.rs
@@ -248,18 +248,18 @@
     fn record_refusal(&mut self, peer: &Contact, e: &tunnel::Error) {
         let now = self.shared.clock.now();
         let name = &self.upstream.upstream;
-        let mut paths = self.shared.paths.lock();
-        paths.record_peer_failure(now, name, &peer.name);
-        drop(paths);
+        let paths = &self.shared.paths;
+        paths.lock().record_peer_failure(now, name, &peer.name);
         let tunnel::Error::Refused(message::TunnelRefusal::Unreachable(Some(hint))) = e else {
             return;
         };
         self.candidates.retain(|candidate| candidate.name != *hint);
-        if !self.asked.contains(hint) {
-            let peers = self.shared.membership.lock().instances.peers(now);
-            let hinted = peers.into_iter().find(|peer| peer.name == *hint);
-            self.candidates.extend(hinted);
-            self.candidates.rotate_right(1);
+        if self.asked.contains(hint) {
+            return;
+        }
+        let peers = self.shared.membership.lock().instances.peers(now);
+        if let Some(hinted) = peers.into_iter().find(|peer| peer.name == *hint) {
+            self.candidates.push_front(hinted);
         }
     }
 }
