Copy the bytes of a tunnel out of its read buffer

Cause: each read from the upstream got a buffer of 16 KB that was sent as it was, so that a queued event of a hundred bytes held 16 KB; flow control counts only the bytes. Found by reading; not measured. Change: one buffer a tunnel, and a copy of exactly the bytes that are sent. Result: the tests of paths and tunnels pass.

--- a/limpetkeeld/src/peer/tunnel.rs
+++ b/limpetkeeld/src/peer/tunnel.rs
@@ -291,25 +291,26 @@
 
 /// Copies bytes from the upstream, up to their end. Nothing is read before it can be sent.
 async fn download(reader: &mut tcp::OwnedReadHalf, send: &mut h2::SendStream<Bytes>) -> Ended {
+    let mut buf = vec![0; CHUNK_BYTES];
     loop {
         let waiting = future::poll_fn(|cx| poll_capacity(send, cx, CHUNK_BYTES));
         let Ok(capacity) = waiting.await else {
             return Ended::Abandoned;
         };
-        let mut buf = bytes::BytesMut::with_capacity(capacity.min(CHUNK_BYTES));
-        let mut limited = (&mut *reader).take(buf.capacity() as u64);
+        let limit = capacity.min(CHUNK_BYTES);
         let read = tokio::select! {
-            read = limited.read_buf(&mut buf) => read,
+            read = reader.read(&mut buf[..limit]) => read,
             _ = future::poll_fn(|cx| send.poll_reset(cx)) => return Ended::Abandoned,
         };
-        let Ok(len) = read else {
-            return Ended::UpstreamBroke;
-        };
-        if len == 0 {
-            return Ended::Complete;
-        }
-        if send.send_data(buf.freeze(), false).is_err() {
-            return Ended::Abandoned;
+        match read {
+            Ok(0) => return Ended::Complete,
+            // A copy, so that a small event that is queued does not hold the whole buffer.
+            Ok(len)
+                if send
+                    .send_data(Bytes::copy_from_slice(&buf[..len]), false)
+                    .is_ok() => {}
+            Ok(_) => return Ended::Abandoned,
+            Err(_) => return Ended::UpstreamBroke,
         }
     }
 }
