--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -10,7 +10,7 @@
         options::DaemonOptions,
         store::Store,
         table::{self, Table},
-        upstream::{Behavior, Upstream},
+        upstream::{Behavior, PathFault, Upstream},
     },
     fleet::process,
 };
@@ -410,6 +410,23 @@
         response.map_or(0, |response| response.status)
     }
 
+    /// Sets or ends a fault of the paths between a daemon and all upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the packets of new connections cannot be dropped.
+    pub fn set_path_faults(
+        &self,
+        daemon_index: usize,
+        fault: Option<PathFault>,
+    ) -> deployment::Result<()> {
+        let source = source_address(daemon_index);
+        for upstream in &self.upstreams {
+            upstream.set_path_fault(source, fault)?;
+        }
+        Ok(())
+    }
+
     /// Sets the behavior of all upstreams.
     pub fn set_behavior(&self, behavior: Behavior) {
         for upstream in &self.upstreams {
--- a/standins/tests/tunnel.rs
+++ b/standins/tests/tunnel.rs
@@ -33,7 +33,9 @@
     let deployment = deployment.expect("deployment");
     let planner = deployment.wait_for_common_planner().await;
     planner.expect("common planner");
-    set_path_faults(&deployment, CUT, Some(PathFault::RefuseNew));
+    deployment
+        .set_path_faults(CUT, Some(PathFault::RefuseNew))
+        .expect("packet filter");
     daemon::wait_until("all paths are severed", async || {
         let requests = (0..8).map(|_| deployment.get_status(CUT, "/look/x"));
         futures_util::future::join_all(requests).await;
@@ -45,14 +47,6 @@
     deployment
 }
 
-fn set_path_faults(deployment: &Deployment, daemon_index: usize, fault: Option<PathFault>) {
-    let source = daemon::source_address(daemon_index);
-    for upstream in &deployment.upstreams {
-        let set = upstream.set_path_fault(source, fault);
-        set.expect("packet filter");
-    }
-}
-
 async fn send(deployment: &Deployment, method: &str, path: &str, id: &str) -> CallerResponse {
     let req = deployment.request(CUT, method, path, id);
     deployment.send(req).await.expect("response")
@@ -225,7 +219,9 @@
 async fn requests_are_refused_at_once_while_no_instance_has_a_path() {
     let deployment = start_cut(2, 2, &Table::default()).await;
     for daemon_index in 0..3 {
-        set_path_faults(&deployment, daemon_index, Some(PathFault::RefuseNew));
+        deployment
+            .set_path_faults(daemon_index, Some(PathFault::RefuseNew))
+            .expect("packet filter");
     }
     for number in 0..4 {
         let started = time::Instant::now();
@@ -241,7 +237,9 @@
 #[tokio::test]
 async fn requests_are_sent_directly_once_the_paths_are_back() {
     let deployment = start_cut(1, 2, &Table::default()).await;
-    set_path_faults(&deployment, CUT, None);
+    deployment
+        .set_path_faults(CUT, None)
+        .expect("packet filter");
     daemon::wait_until("the paths are restored", async || {
         // More at a time than one upstream has slots for.
         let requests = (0..8).map(|_| deployment.get_status(CUT, "/look/x"));
--- a/standins/tests/upstream_path.rs
+++ b/standins/tests/upstream_path.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use standins::deployment::{
-    daemon::{self, CallerResponse, Deployment},
+    daemon::{CallerResponse, Deployment},
     options::DaemonOptions,
     table::Table,
     upstream::{self, PathFault},
@@ -23,15 +23,6 @@
     deployment
 }
 
-/// Sets or ends a fault of the paths between an instance and all upstreams.
-fn set_path_faults(deployment: &Deployment, daemon_index: usize, fault: Option<PathFault>) {
-    let source = daemon::source_address(daemon_index);
-    for upstream in &deployment.upstreams {
-        let set = upstream.set_path_fault(source, fault);
-        set.expect("packet filter");
-    }
-}
-
 async fn send(
     deployment: &Deployment,
     daemon_index: usize,
@@ -52,7 +43,9 @@
 async fn callers_of_an_instance_without_paths_are_served(fault: PathFault, cut_count: usize) {
     let deployment = start(4, &Table::default()).await;
     for daemon_index in 0..cut_count {
-        set_path_faults(&deployment, daemon_index, Some(fault));
+        deployment
+            .set_path_faults(daemon_index, Some(fault))
+            .expect("packet filter");
     }
     // Requests keep arriving while the instances notice the fault.
     let noticed = time::Instant::now() + CONTACT_TIME;
@@ -96,7 +89,9 @@
     let mut streams = Box::pin(futures_util::future::join_all(streams));
     let started = tokio::time::timeout(time::Duration::from_millis(300), &mut streams);
     assert!(started.await.is_err(), "the streams are open");
-    set_path_faults(&deployment, 0, Some(fault));
+    deployment
+        .set_path_faults(0, Some(fault))
+        .expect("packet filter");
     for upstream in &deployment.upstreams {
         upstream.set_behavior(upstream::Behavior::Normal);
     }
