--- a/standins/src/deployment/upstream/path_fault.rs
+++ b/standins/src/deployment/upstream/path_fault.rs
@@ -84,9 +84,17 @@
     }
 }
 
-const LOAD_SOURCE: socket2::SockFilter = socket2::SockFilter::new(0x20, 0, 0, 0xfff0_000c);
-const ACCEPT: socket2::SockFilter = socket2::SockFilter::new(0x06, 0, 0, u32::MAX);
-const DROP: socket2::SockFilter = socket2::SockFilter::new(0x06, 0, 0, 0);
+/// The operations of classic BPF programs that the filters use.
+const LOAD_WORD: u16 = 0x20;
+const JUMP_IF_EQUAL: u16 = 0x15;
+const RETURN: u16 = 0x06;
+
+/// The position of the source address in an IPv4 header, from the beginning of that header.
+const IPV4_SOURCE: u32 = 0xfff0_0000 + 12;
+
+const LOAD_SOURCE: socket2::SockFilter = socket2::SockFilter::new(LOAD_WORD, 0, 0, IPV4_SOURCE);
+const ACCEPT: socket2::SockFilter = socket2::SockFilter::new(RETURN, 0, 0, u32::MAX);
+const DROP: socket2::SockFilter = socket2::SockFilter::new(RETURN, 0, 0, 0);
 
 /// Returns a packet filter that drops what comes from IPv4 addresses.
 fn drop_packets_from(sources: &[net::IpAddr]) -> Vec<socket2::SockFilter> {
@@ -101,7 +109,7 @@
     for (index, source) in sources.iter().enumerate() {
         let instructions_to_drop = (sources.len() - index) as u8;
         program.push(socket2::SockFilter::new(
-            0x15,
+            JUMP_IF_EQUAL,
             instructions_to_drop,
             0,
             *source,
