Check the path in the background before a failure is reported

Cause: the check of the path that precedes a report about a silent or broken upstream was awaited before the retry. If the upstream accepts no connection at all, it takes up to 200 ms, by which a stream that had been silent for 1.2 s got later. Change: the check and the report run beside the retry; only a crash before a response is still checked first, since the planner needs that evidence for the retry. Result: the ten test programs that touch it pass.

--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -285,11 +285,7 @@
             return AttemptOutcome::Retry(sent.into_declined(at_fault));
         }
         Err(attempt::Failure::Stalled(stream)) => {
-            let silence = attempt::Cause::TimedOut;
-            let checking = path::attempt_result(shared, &lead_address, peer.as_ref(), silence);
-            if checking.await == AttemptResult::Silent {
-                plan_guard.report_silence(&lead);
-            }
+            path::report_silence(shared, lead_address, peer, plan_guard.silence_report(&lead));
             record_failed_attempt(shared, request, &lead, "silent");
             let plan = sent.plan().clone();
             *standby = Some(stream::Standby {
@@ -314,16 +310,26 @@
             if let attempt::Cause::LimitExceeded(limit) = cause {
                 record_exceeded_limit(shared, request, &lead, limit);
             }
-            let checking = path::attempt_result(shared, &lead_address, peer.as_ref(), cause);
-            let result = match checking.await {
-                AttemptResult::Crashed => AttemptResult::Failed,
-                result => result,
+            record_failed_attempt(shared, request, &lead, cause.code());
+            let reported = match cause {
+                attempt::Cause::Crashed => attempt::Cause::Broken,
+                cause => cause,
             };
-            (lead, result, cause.code())
+            path::report_failure(shared, lead_address, peer, reported, plan_guard);
+            return retry(shared, writer, sent);
         }
     };
     plan_guard.record_attempt_result(&at_fault, attempt_result);
     record_failed_attempt(shared, request, &at_fault, reason);
+    retry(shared, writer, sent)
+}
+
+/// Returns a request whose attempt has failed for a retry, and counts a stream that goes on.
+fn retry(
+    shared: &shared::Shared,
+    writer: &response_writer::ResponseWriter,
+    sent: RelayedRequest<Sent>,
+) -> AttemptOutcome {
     if writer.is_streaming() {
         shared.metrics.relay.resumed_streams.inc();
     }
--- a/limpetkeeld/src/relay/hedge.rs
+++ b/limpetkeeld/src/relay/hedge.rs
@@ -324,13 +324,8 @@
             }
         };
         drive::record_failed_attempt(self.shared, self.request, name, cause.code());
-        let (shared, lead) = (self.shared.clone(), lead.clone());
-        let (mut plan_guard, peer) = (running.plan_guard, running.peer);
-        tokio::spawn(async move {
-            let checking = path::attempt_result(&shared, &lead, peer.as_ref(), cause);
-            let result = checking.await;
-            plan_guard.record_attempt_result(&lead.upstream, result);
-        });
+        let (plan_guard, peer) = (running.plan_guard, running.peer);
+        path::report_failure(self.shared, lead.clone(), peer, cause, plan_guard);
     }
 
     fn count(&self, result: &'static str) {
--- a/limpetkeeld/src/relay/path.rs
+++ b/limpetkeeld/src/relay/path.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     peer::{message, tunnel},
-    relay::{attempt, shared, upstream},
+    relay::{attempt, planning, shared, upstream},
 };
 
 /// How long a connection of the instance itself has to be established before peers are asked. Round
@@ -345,6 +345,38 @@
     }
 }
 
+/// Reports the failure of an attempt to the planner once the path was checked, in the background.
+pub fn report_failure(
+    shared: &sync::Arc<shared::Shared>,
+    upstream: UpstreamAddress,
+    peer: Option<Contact>,
+    cause: attempt::Cause,
+    mut plan_guard: planning::PlanGuard,
+) {
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let result = attempt_result(&shared, &upstream, peer.as_ref(), cause).await;
+        plan_guard.record_attempt_result(&upstream.upstream, result);
+    });
+}
+
+/// Reports that an upstream has stopped sending, unless its path has failed, in the background.
+pub fn report_silence(
+    shared: &sync::Arc<shared::Shared>,
+    upstream: UpstreamAddress,
+    peer: Option<Contact>,
+    report: planning::SilenceReport,
+) {
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let silence = attempt::Cause::TimedOut;
+        let result = attempt_result(&shared, &upstream, peer.as_ref(), silence).await;
+        if result == AttemptResult::Silent {
+            report.send();
+        }
+    });
+}
+
 /// Tells a peer what an upstream said in a response that passed through it, in the background. The
 /// upstream counts the peer as its caller.
 pub fn report_statement(
--- a/limpetkeeld/src/relay/planning.rs
+++ b/limpetkeeld/src/relay/planning.rs
@@ -64,9 +64,9 @@
         self.plan_result.result = attempt_result;
     }
 
-    /// Reports that an upstream of the plan has stopped sending. The plan goes on, since its stream
-    /// may be continued.
-    pub fn report_silence(&self, upstream: &UpstreamName) {
+    /// Returns the report that an upstream of the plan has stopped sending. The plan goes on, since
+    /// its stream may be continued.
+    pub fn silence_report(&self, upstream: &UpstreamName) -> SilenceReport {
         let plan_result = PlanResult {
             upstream: upstream.clone(),
             result: AttemptResult::Silent,
@@ -77,9 +77,11 @@
             let active = requests.plans.get(&plan_result.id);
             active.and_then(|active| active.planner.clone())
         };
-        let report = message::PlanReport::AttemptFailed(plan_result);
-        // The report is sent in the background.
-        let _ = send_plan_report(&self.shared, planner, report);
+        SilenceReport {
+            shared: self.shared.clone(),
+            planner,
+            report: message::PlanReport::AttemptFailed(plan_result),
+        }
     }
 
     /// Records that an upstream of the plan sent a complete response.
@@ -115,6 +117,20 @@
     }
 }
 
+/// A report that an upstream has stopped sending, which is sent once the path to it was checked.
+pub struct SilenceReport {
+    shared: sync::Arc<shared::Shared>,
+    planner: Option<Contact>,
+    report: message::PlanReport,
+}
+
+impl SilenceReport {
+    /// Sends the report in the background.
+    pub fn send(self) {
+        let _ = send_plan_report(&self.shared, self.planner, self.report);
+    }
+}
+
 /// Sends a report to a planner without waiting for it, and returns the task that sends it. `None` is
 /// the local planner.
 fn send_plan_report(
