Use what exists for transports and orders; name path faults by what they do

From the reading of the whole change; behaviour is unchanged. The two kinds of a connection to an upstream are a tokio_util Either, which delegates what 70 lines of our own did. Severed paths are counted only when one changes, not on each connection. The stand-in upstream finds the ids of reservations for both tests. PathFault::RefuseNew is DropNew, since its connections time out; a duplicate table of a test is gone.

--- a/limpetkeeld/src/relay/path.rs
+++ b/limpetkeeld/src/relay/path.rs
@@ -109,12 +109,12 @@
     let source = shared.settings.source();
     let connection = upstream::Connection::open(source, upstream.address).await?;
     let now = shared.clock.now();
-    let (was_severed, severed) = {
+    let severed = {
         let mut paths = shared.paths.lock();
         let was_severed = paths.record_direct(now, &upstream.upstream);
-        (was_severed, paths.severed_count())
+        was_severed.then(|| paths.severed_count())
     };
-    if was_severed {
+    if let Some(severed) = severed {
         let changes = &shared.metrics.relay.path_changes;
         changes.with_label_values(&["restored"]).inc();
         tracing::info!(event = "path_restored", upstream = %upstream.upstream, severed);
@@ -131,12 +131,12 @@
     peer: InstanceName,
     e: upstream::ConnectError,
 ) {
-    let (was_direct, severed) = {
+    let severed = {
         let mut paths = shared.paths.lock();
         let was_direct = paths.record_severed(started, upstream, peer.clone());
-        (was_direct, paths.severed_count())
+        was_direct.then(|| paths.severed_count())
     };
-    if was_direct {
+    if let Some(severed) = severed {
         let changes = &shared.metrics.relay.path_changes;
         changes.with_label_values(&["severed"]).inc();
         let reason = e.code();
--- a/limpetkeeld/src/relay/upstream.rs
+++ b/limpetkeeld/src/relay/upstream.rs
@@ -169,7 +169,7 @@
         address: net::SocketAddr,
     ) -> Result<Connection, ConnectError> {
         let stream = connect(source, address).await?;
-        Connection::start(bounded_stream::Transport::Direct(stream), None).await
+        Connection::start(bounded_stream::Transport::Left(stream), None).await
     }
 
     /// Uses a connection to an upstream that a peer has established.
@@ -181,7 +181,7 @@
         peer: Contact,
         stream: tunnel::TunnelStream,
     ) -> Result<Connection, ConnectError> {
-        Connection::start(bounded_stream::Transport::Tunnel(stream), Some(peer)).await
+        Connection::start(bounded_stream::Transport::Right(stream), Some(peer)).await
     }
 
     async fn start(
--- a/limpetkeeld/src/relay/upstream/bounded_stream.rs
+++ b/limpetkeeld/src/relay/upstream/bounded_stream.rs
@@ -5,6 +5,7 @@
 
 use limpetkeel::{Bytes, HeadAllowance, ResponseLimit};
 use tokio::{io as async_io, net};
+use tokio_util::either;
 
 use crate::peer::tunnel;
 
@@ -15,77 +16,8 @@
 /// The position of the first digit of the status in a status line.
 const STATUS_CLASS_POSITION: usize = "HTTP/1.1 ".len();
 
-/// The bytes of a connection to an upstream.
-pub enum Transport {
-    /// A connection of this instance.
-    Direct(net::TcpStream),
-    /// A connection of a peer.
-    Tunnel(tunnel::TunnelStream),
-}
-
-impl async_io::AsyncRead for Transport {
-    fn poll_read(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &mut async_io::ReadBuf<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        match self.get_mut() {
-            Transport::Direct(stream) => pin::Pin::new(stream).poll_read(cx, buf),
-            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_read(cx, buf),
-        }
-    }
-}
-
-impl async_io::AsyncWrite for Transport {
-    fn poll_write(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Transport::Direct(stream) => pin::Pin::new(stream).poll_write(cx, buf),
-            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_write(cx, buf),
-        }
-    }
-
-    fn poll_write_vectored(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Transport::Direct(stream) => pin::Pin::new(stream).poll_write_vectored(cx, bufs),
-            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_write_vectored(cx, bufs),
-        }
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        match self {
-            Transport::Direct(stream) => stream.is_write_vectored(),
-            Transport::Tunnel(stream) => stream.is_write_vectored(),
-        }
-    }
-
-    fn poll_flush(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        match self.get_mut() {
-            Transport::Direct(stream) => pin::Pin::new(stream).poll_flush(cx),
-            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_flush(cx),
-        }
-    }
-
-    fn poll_shutdown(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        match self.get_mut() {
-            Transport::Direct(stream) => pin::Pin::new(stream).poll_shutdown(cx),
-            Transport::Tunnel(stream) => pin::Pin::new(stream).poll_shutdown(cx),
-        }
-    }
-}
+/// The bytes of a connection to an upstream: one of this instance, or one of a peer.
+pub type Transport = either::Either<net::TcpStream, tunnel::TunnelStream>;
 
 /// A transport on which one response is received.
 ///
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -1,6 +1,7 @@
 //! A stand-in for an upstream of relayed requests, whose failures can be controlled.
 
 mod http;
+mod order;
 mod path_fault;
 
 use std::{collections, net, sync, time};
@@ -187,9 +188,9 @@
                 control.set_zero_linger().ok()?;
                 return None;
             }
-            path_fault::set_deaf(&control, true).ok()?;
+            path_fault::set_packet_drop(&control, true).ok()?;
             self.path_faults.healed(source).await;
-            path_fault::set_deaf(&control, false).ok()?;
+            path_fault::set_packet_drop(&control, false).ok()?;
         }
     }
 
--- a/standins/src/deployment/upstream/path_fault.rs
+++ b/standins/src/deployment/upstream/path_fault.rs
@@ -13,7 +13,7 @@
     /// Established connections are reset.
     Reset,
     /// Established connections live on.
-    RefuseNew,
+    DropNew,
 }
 
 /// The faults by the address of the instance.
@@ -54,7 +54,7 @@
         let mut faults = self.faults.subscribe();
         let is_broken = |faults: &Faults| {
             let fault = faults.get(&source).copied();
-            fault.is_some_and(|fault| fault != PathFault::RefuseNew)
+            fault.is_some_and(|fault| fault != PathFault::DropNew)
         };
         // The sender lives as long as the upstream.
         let broken = faults.wait_for(is_broken).await;
@@ -75,9 +75,9 @@
 /// # Errors
 ///
 /// Returns an error if the filter cannot be changed.
-pub(super) fn set_deaf(stream: &tokio::net::TcpStream, is_deaf: bool) -> io::Result<()> {
+pub(super) fn set_packet_drop(stream: &tokio::net::TcpStream, is_dropping: bool) -> io::Result<()> {
     let socket = socket2::SockRef::from(stream);
-    if is_deaf {
+    if is_dropping {
         socket.attach_filter(&[DROP])
     } else {
         socket.detach_filter()
@@ -89,7 +89,8 @@
 const JUMP_IF_EQUAL: u16 = 0x15;
 const RETURN: u16 = 0x06;
 
-/// The position of the source address in an IPv4 header, from the beginning of that header.
+/// The position of the source address in the IPv4 header. Positions from the beginning of that
+/// header have the base `SKF_NET_OFF`.
 const IPV4_SOURCE: u32 = 0xfff0_0000 + 12;
 
 const LOAD_SOURCE: socket2::SockFilter = socket2::SockFilter::new(LOAD_WORD, 0, 0, IPV4_SOURCE);
--- a/standins/tests/relay_mixed.rs
+++ b/standins/tests/relay_mixed.rs
@@ -38,7 +38,7 @@
         .await
         .expect("registered");
         let source = daemon::source_address(0);
-        let set = deployment.upstreams[0].set_path_fault(source, Some(PathFault::RefuseNew));
+        let set = deployment.upstreams[0].set_path_fault(source, Some(PathFault::DropNew));
         set.expect("packet filter");
         daemon::wait_until("the path is severed", async || {
             deployment.get_status(0, "/look/x").await;
--- a/standins/tests/reserve.rs
+++ b/standins/tests/reserve.rs
@@ -1,12 +1,10 @@
 //! Tests of memory reservations on engines, for prompts that do not fit into one engine.
 
-use std::collections;
-
 use platform::names;
 use standins::deployment::{
     daemon::{self, Deployment},
     table::Table,
-    upstream::{Behavior, Upstream},
+    upstream::Behavior,
 };
 use test_case::test_case;
 
@@ -16,19 +14,6 @@
 /// The tokens of a prompt that needs two engines, and the maximum tokens of the response.
 const MODEL_REQUEST_SIZE: &str = "1500,10";
 
-/// Returns the ids of the reservations that were named in orders of one kind to an engine.
-fn reservation_ids(upstream: &Upstream, operation: &str) -> collections::BTreeSet<String> {
-    let received = upstream.received();
-    let orders = received
-        .iter()
-        .filter(|request| request.request_line.contains(names::ORDER_PATH))
-        .filter_map(|request| serde_json::from_slice::<serde_json::Value>(&request.body).ok())
-        .filter(|order| order["operation"] == operation);
-    orders
-        .filter_map(|order| order["id"].as_str().map(str::to_owned))
-        .collect()
-}
-
 /// Starts a deployment whose upstreams are engines.
 async fn start_deployment() -> Deployment {
     let deployment = Deployment::start(2, 8).await.expect("deployment");
@@ -53,14 +38,17 @@
 async fn count_released(deployment: &Deployment) -> usize {
     daemon::wait_until("all reservations are released", async || {
         let mut upstreams = deployment.upstreams.iter();
-        upstreams.all(|u| reservation_ids(u, "reserve").is_subset(&reservation_ids(u, "release")))
+        upstreams.all(|u| {
+            u.reservation_ids("reserve")
+                .is_subset(&u.reservation_ids("release"))
+        })
     })
     .await
     .expect("released");
     deployment
         .upstreams
         .iter()
-        .map(|u| reservation_ids(u, "reserve").len())
+        .map(|u| u.reservation_ids("reserve").len())
         .sum()
 }
 
--- a/standins/tests/tunnel.rs
+++ b/standins/tests/tunnel.rs
@@ -34,7 +34,7 @@
     let planner = deployment.wait_for_common_planner().await;
     planner.expect("common planner");
     deployment
-        .set_path_faults(CUT, Some(PathFault::RefuseNew))
+        .set_path_faults(CUT, Some(PathFault::DropNew))
         .expect("packet filter");
     daemon::wait_until("all paths are severed", async || {
         let requests = (0..8).map(|_| deployment.get_status(CUT, "/look/x"));
@@ -220,7 +220,7 @@
     let deployment = start_cut(2, 2, &Table::default()).await;
     for daemon_index in 0..3 {
         deployment
-            .set_path_faults(daemon_index, Some(PathFault::RefuseNew))
+            .set_path_faults(daemon_index, Some(PathFault::DropNew))
             .expect("packet filter");
     }
     for number in 0..4 {
@@ -286,15 +286,12 @@
 
 #[tokio::test]
 async fn memory_that_is_reserved_through_a_peer_is_released() {
-    let table = Table {
-        engine_memory_tokens: Some(1_000),
-        ..Table::default()
-    };
     let deployment = start_cut(1, 8, &Table::default()).await;
     let table = Table {
         version: 7,
+        engine_memory_tokens: Some(1_000),
         extra_routes: vec!["engines".to_owned()],
-        ..table
+        ..Table::default()
     };
     deployment.publish_table(&table).expect("table");
     for daemon_index in [CUT, PEER] {
@@ -309,13 +306,9 @@
     let response = deployment.send(req).await.expect("response");
     assert_eq!(response.status, 200, "{response:?}");
     let orders = |operation: &str| -> collections::BTreeSet<String> {
-        let received = deployment.upstreams.iter().flat_map(|u| u.received());
-        let orders = received
-            .filter(|request| request.request_line.contains(names::ORDER_PATH))
-            .filter_map(|request| serde_json::from_slice::<serde_json::Value>(&request.body).ok())
-            .filter(|order| order["operation"] == operation);
-        orders
-            .filter_map(|order| order["id"].as_str().map(str::to_owned))
+        let upstreams = deployment.upstreams.iter();
+        upstreams
+            .flat_map(|upstream| upstream.reservation_ids(operation))
             .collect()
     };
     assert!(!orders("reserve").is_empty());
--- a/standins/tests/upstream_path.rs
+++ b/standins/tests/upstream_path.rs
@@ -36,7 +36,7 @@
 
 #[test_case(PathFault::Hang, 1; "hanging connections of one instance")]
 #[test_case(PathFault::Reset, 1; "reset connections of one instance")]
-#[test_case(PathFault::RefuseNew, 1; "no new connections of one instance")]
+#[test_case(PathFault::DropNew, 1; "no new connections of one instance")]
 #[test_case(PathFault::Hang, 3; "hanging connections of all instances but one")]
 #[test_case(PathFault::Reset, 3; "reset connections of all instances but one")]
 #[tokio::test]
