Keep the time of a connection when a search for peers fails

Cause: a failed search replaced the whole state of a direct path, and with it the time at which the instance last connected. An attempt that began before that connection and failed after the search could then sever a path that had just been shown to be sound. Change: the search sets only the time until which no peer is asked.

--- a/limpetkeel/src/upstream_path.rs
+++ b/limpetkeel/src/upstream_path.rs
@@ -194,12 +194,10 @@
 
     /// Records that no peer has reached an upstream.
     pub fn record_search_failure(&mut self, now: unit::Timestamp, upstream: &name::UpstreamName) {
-        if !self.is_severed(upstream) {
-            let path = Path::new(Direct {
-                search_after: now.after(SEARCH_BACKOFF),
-                ..Direct::default()
-            });
-            self.paths.insert(upstream.clone(), PathState::Direct(path));
+        let path = self.paths.entry(upstream.clone());
+        let path = path.or_insert_with(|| PathState::Direct(Path::new(Direct::default())));
+        if let PathState::Direct(path) = path {
+            path.state.search_after = now.after(SEARCH_BACKOFF);
         }
     }
 
--- a/limpetkeel/tests/upstream_path.rs
+++ b/limpetkeel/tests/upstream_path.rs
@@ -76,6 +76,16 @@
     assert!(!paths.record_severed(Timestamp(1_000), &upstream, instance("a1")));
 }
 
+#[test]
+fn a_failed_search_for_peers_leaves_an_attempt_beside_a_successful_one_without_effect() {
+    let mut paths = UpstreamPaths::default();
+    let upstream = registry::name("u");
+    paths.record_direct(Timestamp(1_010), &upstream);
+    paths.record_search_failure(Timestamp(1_020), &upstream);
+    assert!(!paths.may_search(Timestamp(1_030), &upstream));
+    assert!(!paths.record_severed(Timestamp(1_000), &upstream, instance("a1")));
+}
+
 #[test]
 fn severed_paths_are_probed_one_after_the_other_until_one_is_back() {
     let mut paths = UpstreamPaths::default();
