Count the end of an upstream during its response as a crash

Cause: the first event of a response cleared all causes of its request, and the end of the upstream after it was reported as a failure, not as a crash. Change: only a response that ended well clears the causes of its request. A response that breaks off is a crash if its upstream accepts no connection any more, which is checked twice, since a process that ends may close its listener last. A trial lasts until its response has ended. A paused stream that is continued reports how it ended. Tests that took the start of a response for a success now let the response end well; that one in progress clears nothing is tested beside them, so that they are as strict.

--- a/limpetkeel/src/crash_screening.rs
+++ b/limpetkeel/src/crash_screening.rs
@@ -1,8 +1,8 @@
 //! Screens possible causes of crashes: parts of prompts, and requests that are repeated.
 //!
 //! A crash is evidence against every cause of its request, since the cause cannot be seen from
-//! outside. A response that begins clears all causes of its request. What remains are the causes that
-//! the crashes have in common. Their requests are admitted one at a time, as trials; a cause whose
+//! outside. A response that ends well clears all causes of its request; one in progress does not,
+//! since its upstream may still crash. What remains are the causes that the crashes have in common. Their requests are admitted one at a time, as trials; a cause whose
 //! trial crashes is quarantined, and is tried again after a back-off.
 
 mod screened_cause;
@@ -68,7 +68,7 @@
     TrialStarted,
     /// The cause was quarantined, or its quarantine was extended.
     Quarantined,
-    /// An upstream responded to a request with the cause.
+    /// The response to a request with the cause ended well.
     Cleared,
     /// The evidence against the cause or its quarantine expired, or made room for other causes.
     Expired,
@@ -192,7 +192,8 @@
         self.update(causes, |screened| screened.end_trial(plan));
     }
 
-    /// Records that an upstream crashed before it responded to a request with these causes.
+    /// Records that an upstream crashed before it had responded completely to a request with these
+    /// causes.
     ///
     /// If causes of the request are suspected, those with the most crashes explain the crash, and
     /// it is not counted against the others. If the request itself is among them, it alone explains
@@ -224,8 +225,7 @@
         self.end_trial(crash.plan, &explained);
     }
 
-    /// Records that an upstream has begun to respond to a request with these causes, which clears
-    /// them.
+    /// Records that the response to a request with these causes ended well, which clears them.
     pub fn record_response(&mut self, causes: &[crash_cause::CrashCause]) {
         for cause in causes.iter().take(MAX_CAUSES_PER_REQUEST) {
             if let Some(screened) = self.causes.remove(cause) {
--- a/limpetkeel/src/plan.rs
+++ b/limpetkeel/src/plan.rs
@@ -90,7 +90,7 @@
     Declined,
     /// The upstream sent an error or a malformed response, or the connection broke.
     Failed,
-    /// The connection broke before the response began.
+    /// The connection broke before the response began, or the upstream ended during the response.
     Crashed,
     /// The result says nothing about the upstream, since the caller disconnected or another
     /// upstream failed.
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -118,9 +118,6 @@
                 upstream.add_prefill(now, part_ms);
             }
         }
-        if reported_plan.response_begun {
-            self.screening.record_response(&reported_plan.causes);
-        }
         let lead = self.upstreams.get(&plan.lead.upstream);
         let decode = self.timing.zip(lead).map(|(timing, lead)| {
             let output = expected_output(*size);
@@ -165,12 +162,10 @@
         };
         record.response_begun = true;
         record.expected_end = now.after(record.decode);
-        self.screening.record_response(&record.causes);
         for name in &record.participants {
             if let Some(upstream) = self.upstreams.get_mut(name) {
                 upstream.finish_part(id);
                 upstream.begin_stream(id);
-                upstream.end_trial(id);
             }
         }
         let elapsed = now.since(record.planned_at).0 as f64;
--- a/limpetkeel/src/planner/screening.rs
+++ b/limpetkeel/src/planner/screening.rs
@@ -67,15 +67,12 @@
     /// Evaluates the result of an attempt as evidence about its causes.
     ///
     /// The crash of an upstream that was draining or restarted says nothing. The causes of a
-    /// response in progress are sound.
+    /// response that ended well are sound.
     pub(super) fn screen_result(&mut self, now: unit::Timestamp, plan_result: &plan::PlanResult) {
         let Some(record) = self.plans.get(&plan_result.id) else {
             return;
         };
-        if plan_result.result == plan::AttemptResult::Inconclusive {
-            return;
-        }
-        if plan_result.response_begun {
+        if plan_result.result == plan::AttemptResult::Succeeded && plan_result.response_begun {
             self.screening.record_response(&record.causes);
             return;
         }
@@ -92,14 +89,6 @@
             planned_at: record.planned_at,
             upstream: lead.clone(),
         };
-        let responding = || self.plans.values().filter(|other| other.response_begun);
-        let is_sound = |cause| responding().any(|other| other.causes.contains(cause));
-        let causes: Vec<_> = record
-            .causes
-            .iter()
-            .filter(|cause| !is_sound(cause))
-            .copied()
-            .collect();
-        self.screening.record_crash(now, &crash, &causes);
+        self.screening.record_crash(now, &crash, &record.causes);
     }
 }
--- a/limpetkeel/src/planner/upstream.rs
+++ b/limpetkeel/src/planner/upstream.rs
@@ -307,11 +307,6 @@
         self.trials.insert(id);
     }
 
-    /// Removes the trial of a request, if it is one.
-    pub(super) fn end_trial(&mut self, id: grant::RequestId) {
-        self.trials.remove(&id);
-    }
-
     /// Returns `true` if a trial runs on the upstream.
     pub(super) fn has_trial(&self) -> bool {
         !self.trials.is_empty()
--- a/limpetkeel/tests/planner_screening.rs
+++ b/limpetkeel/tests/planner_screening.rs
@@ -36,6 +36,20 @@
     pool::record_result(planner, now, plan, lead.as_str(), result);
 }
 
+/// Reports the result of a plan's attempt whose response has begun.
+fn report_begun(planner: &mut Planner, now: u64, plan: &Plan, result: AttemptResult) {
+    planner.record_response_begun(Timestamp(now), plan.id);
+    let plan_result = PlanResult {
+        pool: "p".try_into().expect("name"),
+        id: plan.id,
+        availability_zone: "x".try_into().expect("name"),
+        upstream: plan.lead.upstream.clone(),
+        result,
+        response_begun: true,
+    };
+    planner.record_result(Timestamp(now + 50), &plan_result);
+}
+
 /// Removes an upstream and brings it back as another process.
 fn restart(planner: &mut Planner, generation: u64, crashed: &Plan, engines: usize) {
     let mut entries: Vec<_> = (0..engines).map(pool::entry).collect();
@@ -97,21 +111,58 @@
     for number in 0..6 {
         let now = number * 1_000;
         let planned = plan(&mut planner, now, number, &[DEADLY]);
-        planner.record_response_begun(Timestamp(now + 50), planned.id);
-        let lead = planned.lead.upstream.clone();
-        let plan_result = PlanResult {
-            pool: "p".try_into().expect("name"),
-            id: planned.id,
-            availability_zone: "x".try_into().expect("name"),
-            upstream: lead,
-            result: AttemptResult::Failed,
-            response_begun: true,
-        };
-        planner.record_result(Timestamp(now + 100), &plan_result);
+        report_begun(&mut planner, now + 50, &planned, AttemptResult::Failed);
     }
     assert!(planner.take_cause_decisions().is_empty());
 }
 
+#[test]
+fn a_part_that_crashes_upstreams_after_their_first_event_is_held_back() {
+    let mut planner = pool::planner(9);
+    for number in 0..3 {
+        let now = number * 1_000;
+        let crashed = plan(&mut planner, now, 1_000 + number, &[DEADLY]);
+        report_begun(&mut planner, now + 50, &crashed, AttemptResult::Crashed);
+        restart(&mut planner, 10 + number, &crashed, 9);
+    }
+    assert!(is_held_back(&mut planner, 2_500, 1, &[COMMON, DEADLY]));
+    assert_eq!(planner.take_quarantine_updates().len(), 1);
+}
+
+#[test_case(AttemptResult::Inconclusive)]
+#[test_case(AttemptResult::Failed)]
+#[test_case(AttemptResult::Silent)]
+fn a_response_that_did_not_end_well_clears_nothing(result: AttemptResult) {
+    let mut planner = pool::planner(9);
+    for number in 0..3 {
+        let now = number * 1_000;
+        let crashed = plan(&mut planner, now, 2 * number, &[DEADLY]);
+        report(&mut planner, now + 100, &crashed, AttemptResult::Crashed);
+        restart(&mut planner, 10 + number, &crashed, 9);
+        if number < 2 {
+            let other = plan(&mut planner, now + 200, 2 * number + 1, &[DEADLY]);
+            report_begun(&mut planner, now + 300, &other, result);
+        }
+    }
+    assert!(is_held_back(&mut planner, 2_500, 100, &[DEADLY]));
+}
+
+#[test]
+fn an_error_response_clears_nothing() {
+    let mut planner = pool::planner(9);
+    for number in 0..3 {
+        let now = number * 1_000;
+        let crashed = plan(&mut planner, now, 2 * number, &[DEADLY]);
+        report(&mut planner, now + 100, &crashed, AttemptResult::Crashed);
+        restart(&mut planner, 10 + number, &crashed, 9);
+        if number < 2 {
+            let other = plan(&mut planner, now + 200, 2 * number + 1, &[DEADLY]);
+            report(&mut planner, now + 300, &other, AttemptResult::Succeeded);
+        }
+    }
+    assert!(is_held_back(&mut planner, 2_500, 100, &[DEADLY]));
+}
+
 #[test]
 fn the_end_of_a_draining_upstream_is_no_evidence() {
     let mut planner = pool::planner(9);
@@ -137,18 +188,17 @@
         report(&mut planner, now + 100, &killed, AttemptResult::Crashed);
         restart(&mut planner, 10 + number, &killed, 9);
         let retry = plan(&mut planner, now + 101, 2 * number + 1, &[COMMON]);
-        planner.record_response_begun(Timestamp(now + 300), retry.id);
-        report(&mut planner, now + 400, &retry, AttemptResult::Inconclusive);
+        report_begun(&mut planner, now + 300, &retry, AttemptResult::Succeeded);
     }
     assert!(planner.take_cause_decisions().is_empty());
 }
 
 #[test]
-fn the_parts_of_a_response_in_progress_are_sound() {
+fn the_parts_of_a_response_that_ended_well_are_sound() {
     let mut planner = pool::planner(9);
     let stream = plan(&mut planner, 0, 1, &[COMMON]);
-    planner.record_response_begun(Timestamp(50), stream.id);
     quarantine_deadly(&mut planner, &[COMMON, DEADLY]);
+    report_begun(&mut planner, 2_200, &stream, AttemptResult::Succeeded);
     assert!(!is_held_back(&mut planner, 2_500, 2, &[COMMON]));
     assert!(is_held_back(&mut planner, 2_500, 3, &[DEADLY]));
 }
@@ -171,9 +221,14 @@
         let lead = plan(&mut planner, 1_300, id, &[COMMON]).lead.upstream;
         assert_ne!(lead, trial.lead.upstream);
     }
-    planner.record_response_begun(Timestamp(1_400), trial.id);
+    planner.record_response_begun(Timestamp(1_350), trial.id);
+    for id in 220..240 {
+        let lead = plan(&mut planner, 1_350, id, &[COMMON]).lead.upstream;
+        assert_ne!(lead, trial.lead.upstream, "the trial has not ended");
+    }
+    report_begun(&mut planner, 1_400, &trial, AttemptResult::Succeeded);
     let after = (300..400)
-        .any(|id| plan(&mut planner, 1_400, id, &[COMMON]).lead.upstream == trial.lead.upstream);
+        .any(|id| plan(&mut planner, 1_500, id, &[COMMON]).lead.upstream == trial.lead.upstream);
     assert!(after, "the trial has ended");
 }
 
@@ -250,8 +305,8 @@
 fn a_request_that_crashed_three_upstreams_is_rejected_while_its_part_is_served() {
     let mut planner = pool::planner(9);
     let sound = plan(&mut planner, 0, 1, &[CrashCause::Request(1), COMMON]);
-    planner.record_response_begun(Timestamp(10), sound.id);
     quarantine_deadly(&mut planner, &[DEADLY_REQUEST, COMMON]);
+    report_begun(&mut planner, 2_200, &sound, AttemptResult::Succeeded);
     for now in [2_500, 12_500, 32_500, 60_000] {
         let planned = planner.plan(Timestamp(now), &request(now, &[DEADLY_REQUEST, COMMON]));
         assert_eq!(planned.map(|_| ()), Err(Error::RequestQuarantined));
@@ -275,7 +330,7 @@
         restart(&mut planner, 10 + number, &crashed, 9);
     }
     let trial = plan(&mut planner, 2_500, 3, &[bystander]);
-    planner.record_response_begun(Timestamp(2_550), trial.id);
+    report_begun(&mut planner, 2_550, &trial, AttemptResult::Succeeded);
     for id in 4..8 {
         plan(&mut planner, 2_600, id, &[bystander]);
     }
@@ -288,7 +343,7 @@
     quarantine_deadly(&mut planner, &[DEADLY_REQUEST, COMMON]);
     assert_eq!(planner.take_quarantine_updates().len(), 1, "the request");
     let trial = plan(&mut planner, 2_500, 1, &[CrashCause::Request(1), COMMON]);
-    planner.record_response_begun(Timestamp(2_550), trial.id);
+    report_begun(&mut planner, 2_550, &trial, AttemptResult::Succeeded);
     for id in 2..5 {
         plan(&mut planner, 2_600, id, &[CrashCause::Request(id), COMMON]);
     }
--- a/limpetkeeld/src/relay/attempt.rs
+++ b/limpetkeeld/src/relay/attempt.rs
@@ -58,7 +58,8 @@
 pub enum Cause {
     /// The connection broke before the response began.
     Crashed,
-    /// The connection broke during the response, or the response was malformed.
+    /// The connection broke during the response, or the response was malformed. If the upstream is
+    /// gone by then, it has crashed.
     Broken,
     /// The tunnel to the upstream through a peer broke.
     PathBroken,
@@ -349,7 +350,7 @@
 }
 
 /// Returns the failure of an attempt whose stream was not forwarded to its end.
-fn stream_failure(failure: stream::Failure, has_begun: bool) -> Failure {
+pub fn stream_failure(failure: stream::Failure, has_begun: bool) -> Failure {
     match failure {
         stream::Failure::Stalled => Failure::Failed(Cause::TimedOut),
         stream::Failure::Broken if !has_begun => Failure::Failed(Cause::Crashed),
--- a/limpetkeeld/src/relay/drive.rs
+++ b/limpetkeeld/src/relay/drive.rs
@@ -1,6 +1,6 @@
 //! Drives a request from its first plan through its attempts to the final response.
 
-use std::sync;
+use std::{sync, time};
 
 use limpetkeel::{
     AttemptResult, Plan, RelayedRequest, ResponseLimit, Routed, Sent, StalePlan, Timestamp,
@@ -19,6 +19,9 @@
 /// are only stale while tables change.
 const MAX_STALE_PLANS: usize = 6;
 
+/// How long a retry waits until the planner has the evidence of the attempt before it.
+const MAX_EVIDENCE_WAIT: time::Duration = time::Duration::from_millis(100);
+
 /// A request in progress. Dropping it logs the request and updates the metrics, also when the
 /// caller disconnects.
 struct ActiveRequest {
@@ -285,7 +288,8 @@
             return AttemptOutcome::Retry(sent.into_declined(at_fault));
         }
         Err(attempt::Failure::Stalled(stream)) => {
-            path::report_silence(shared, lead_address, peer, plan_guard.silence_report(&lead));
+            let report = plan_guard.silence_report(&lead);
+            path::report_silence(shared, lead_address, peer.clone(), report);
             record_failed_attempt(shared, request, &lead, "silent");
             let plan = sent.plan().clone();
             *standby = Some(stream::Standby {
@@ -293,29 +297,20 @@
                 plan,
                 plan_guard,
                 group: started.group,
+                peer,
             });
             return AttemptOutcome::Retry(sent.into_failed());
         }
-        // A resumed prompt has had a response before.
-        Err(attempt::Failure::Failed(attempt::Cause::Crashed)) if !writer.is_streaming() => {
-            let crash = attempt::Cause::Crashed;
-            let checking = path::attempt_result(shared, &lead_address, peer.as_ref(), crash);
-            plan_guard.record_attempt_result(&lead, checking.await);
-            record_failed_attempt(shared, request, &lead, attempt::Cause::Crashed.code());
-            // The planner needs the evidence before it plans a retry.
-            plan_guard.report().await;
-            return AttemptOutcome::Retry(sent.into_failed());
-        }
         Err(attempt::Failure::Failed(cause)) => {
             if let attempt::Cause::LimitExceeded(limit) = cause {
                 record_exceeded_limit(shared, request, &lead, limit);
             }
             record_failed_attempt(shared, request, &lead, cause.code());
-            let reported = match cause {
-                attempt::Cause::Crashed => attempt::Cause::Broken,
-                cause => cause,
-            };
-            path::report_failure(shared, lead_address, peer, reported, plan_guard);
+            let reporting = path::report_failure(shared, lead_address, peer, cause, plan_guard);
+            if matches!(cause, attempt::Cause::Crashed | attempt::Cause::Broken) {
+                // The planner needs the evidence before it plans a retry.
+                let _ = tokio::time::timeout(MAX_EVIDENCE_WAIT, reporting).await;
+            }
             return retry(shared, writer, sent);
         }
     };
@@ -345,6 +340,7 @@
     writer: &mut response_writer::ResponseWriter,
 ) -> Option<Completion> {
     let mut standby = standby?;
+    let lead = standby.plan.lead.clone();
     let mut sent = relayed.continue_attempt(standby.plan);
     let context = stream::StreamContext {
         plan_guard: &mut standby.plan_guard,
@@ -358,11 +354,20 @@
             None, context, writer,
         )
         .await;
-    match result {
-        Ok(()) => Some(Completion::Streamed),
-        Err(stream::Failure::CallerDisconnected) => Some(Completion::Abandoned),
-        Err(_) => None,
+    let failure = match result {
+        Ok(()) => {
+            standby.plan_guard.record_success(&lead.upstream);
+            return Some(Completion::Streamed);
+        }
+        Err(stream::Failure::CallerDisconnected) => return Some(Completion::Abandoned),
+        Err(failure) => failure,
+    };
+    let failure = attempt::stream_failure(failure, standby.stream.has_begun());
+    if let attempt::Failure::Failed(cause) = failure {
+        record_failed_attempt(shared, request, &lead.upstream, cause.code());
+        path::report_failure(shared, lead, standby.peer, cause, standby.plan_guard);
     }
+    None
 }
 
 /// Counts and logs a plan that contradicts the local tables.
--- a/limpetkeeld/src/relay/path.rs
+++ b/limpetkeeld/src/relay/path.rs
@@ -29,6 +29,9 @@
 /// Timeout for an order, including the connection.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
+/// How long a process that ends may accept connections after its first one has broken.
+const EXIT_TIME: time::Duration = time::Duration::from_millis(25);
+
 /// Timeout of a report to a peer.
 const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
@@ -314,7 +317,8 @@
 /// established the connection, if any.
 ///
 /// A broken or silent connection is no evidence against the upstream if the path has failed, which a
-/// new connection shows: the instance itself does not get one, but a peer does.
+/// new connection shows: the instance itself does not get one, but a peer does. If nobody gets one,
+/// a response that broke off ended with its upstream.
 pub async fn attempt_result(
     shared: &sync::Arc<shared::Shared>,
     upstream: &UpstreamAddress,
@@ -333,31 +337,43 @@
         }
         _ => return cause.attempt_result(),
     }
-    let connected = connect(shared, upstream, message::TunnelPurpose::Order).await;
-    let has_failed = connected.is_ok_and(|connection| {
+    let connecting = || connect(shared, upstream, message::TunnelPurpose::Order);
+    let mut connected = connecting().await;
+    let has_failed = connected.as_ref().is_ok_and(|connection| {
         let used = connection.peer().map(|peer| &peer.name);
         used.is_some() && used != peer.map(|peer| &peer.name)
     });
     if has_failed {
-        AttemptResult::PathFailed
-    } else {
-        cause.attempt_result()
+        return AttemptResult::PathFailed;
+    }
+    if cause != attempt::Cause::Broken {
+        return cause.attempt_result();
+    }
+    if connected.is_ok() {
+        tokio::time::sleep(EXIT_TIME).await;
+        connected = connecting().await;
+    }
+    match connected {
+        Ok(_) => cause.attempt_result(),
+        Err(_) => AttemptResult::Crashed,
     }
 }
 
 /// Reports the failure of an attempt to the planner once the path was checked, in the background.
+/// Returns the task, which ends when the planner has received the report.
 pub fn report_failure(
     shared: &sync::Arc<shared::Shared>,
     upstream: UpstreamAddress,
     peer: Option<Contact>,
     cause: attempt::Cause,
     mut plan_guard: planning::PlanGuard,
-) {
+) -> tokio::task::JoinHandle<()> {
     let shared = shared.clone();
     tokio::spawn(async move {
         let result = attempt_result(&shared, &upstream, peer.as_ref(), cause).await;
         plan_guard.record_attempt_result(&upstream.upstream, result);
-    });
+        plan_guard.report().await;
+    })
 }
 
 /// Reports that an upstream has stopped sending, unless its path has failed, in the background.
--- a/limpetkeeld/src/relay/stream.rs
+++ b/limpetkeeld/src/relay/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use limpetkeel::{MemoryExhausted, Millis, Plan, RelayedRequest, ResponseLimit, Sent};
+use limpetkeel::{Contact, MemoryExhausted, Millis, Plan, RelayedRequest, ResponseLimit, Sent};
 
 use crate::relay::{
     caller_request, drain, event_queue, events, memory, planning, reservations, response_writer,
@@ -73,6 +73,8 @@
     pub plan_guard: planning::PlanGuard,
     /// The helper engines and their reservations.
     pub group: reservations::HelperGroup,
+    /// The peer that has established the connection, if this instance has not.
+    pub peer: Option<Contact>,
 }
 
 /// The state updated when events arrive.
--- a/standins/src/deployment/upstream.rs
+++ b/standins/src/deployment/upstream.rs
@@ -1,10 +1,12 @@
 //! A stand-in for an upstream of relayed requests, whose failures can be controlled.
 
+mod behavior;
 mod http;
 mod order;
 mod path_fault;
+mod received_request;
 
-use std::{collections, net, sync, time};
+use std::{net, sync, time};
 
 use platform::names;
 use tokio::{
@@ -14,7 +16,9 @@
 
 use crate::deployment::{self, scripted};
 
+pub use behavior::Behavior;
 pub use path_fault::PathFault;
+pub use received_request::ReceivedRequest;
 
 /// Returns the body of a complete stream as a caller receives it.
 pub fn complete_stream() -> String {
@@ -24,87 +28,6 @@
         .collect()
 }
 
-/// The behavior of an upstream towards requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Behavior {
-    /// Runs the request and responds.
-    Normal,
-    /// Runs the request, responds, and states that it is leaving.
-    Leaving,
-    /// Runs the request, responds, and names a limit, in thousandths of a request per second.
-    Limited(u32),
-    /// Runs the request, responds with the id of another request, and states that it is leaving.
-    LeavingWithWrongId,
-    /// Declines the request, and states that it did not run it.
-    Decline,
-    /// Declines the request, states that it did not run it, and asks for no requests for the given
-    /// number of milliseconds.
-    DeclineFor(u64),
-    /// Responds like another upstream at the same address, which rejects the request with status
-    /// 421.
-    WrongUpstream,
-    /// Runs the request and closes the connection without a response.
-    DropResponse,
-    /// Closes the connection without a response to a request whose prompt has the given part, and
-    /// runs other requests.
-    CrashOnPart(u64),
-    /// Closes the connection without a response to a request with the given body, and runs other
-    /// requests.
-    CrashOnBody(&'static str),
-    /// Runs the request and responds with bytes that are not HTTP.
-    MalformedResponse,
-    /// Runs the request and responds with the id of another request.
-    WrongRequestId,
-    /// Runs the request and closes the connection before the response is complete.
-    TruncateResponse,
-    /// Runs the request and omits the signature from the response.
-    Unsigned,
-    /// Runs the request and sends a second response, with the id of another request.
-    ExtraResponse,
-    /// Runs the request and responds with status 500.
-    ServerError,
-    /// Runs the request and leaves the connection open without a response.
-    Hang,
-    /// Sends the given number of events, then closes the connection in the middle of the next one.
-    CutAfter(u64),
-    /// Sends the given number of events, then nothing, and leaves the connection open.
-    HangAfter(u64),
-    /// Leaves a gap of the given number of milliseconds after two events, then continues.
-    GapAfterTwo(u64),
-    /// Runs the request, and responds and closes the connection before it has read the body.
-    EarlyResponse,
-    /// Runs the request, unless the response declines it, and sends a scripted response.
-    Scripted(scripted::Script),
-    /// Runs the request, and sends a scripted response before it has read the body.
-    ScriptedEarly(scripted::Script),
-}
-
-/// A request as an upstream received it.
-#[derive(Clone, Debug)]
-pub struct ReceivedRequest {
-    /// The request id.
-    pub id: String,
-    /// The request line.
-    pub request_line: String,
-    /// The headers, by name in lower case.
-    pub headers: collections::BTreeMap<String, String>,
-    /// The body of the request.
-    pub body: Vec<u8>,
-    /// Whether the upstream ran it.
-    pub ran: bool,
-    /// The address of its sender.
-    pub source: net::IpAddr,
-}
-
-impl ReceivedRequest {
-    /// Returns `true` if the prompt has a part.
-    pub fn has_part(&self, part: u64) -> bool {
-        let parts = self.headers.get(names::PROMPT_PARTS.as_str());
-        let mut parts = parts.into_iter().flat_map(|parts| parts.split(','));
-        parts.any(|entry| entry.starts_with(&format!("{part:x}:")))
-    }
-}
-
 #[derive(Debug, Default)]
 struct State {
     behavior: Option<Behavior>,
@@ -123,7 +46,9 @@
     /// The address that the upstream listens on.
     pub address: net::SocketAddr,
     state: sync::Arc<parking_lot::Mutex<State>>,
-    listener: sync::Arc<tcp::TcpListener>,
+    /// `None` once the upstream has crashed.
+    listener: sync::Arc<parking_lot::Mutex<Option<sync::Arc<tcp::TcpListener>>>>,
+    crash: sync::Arc<tokio::sync::watch::Sender<bool>>,
     path_faults: sync::Arc<path_fault::PathFaults>,
 }
 
@@ -141,23 +66,47 @@
     /// Returns an error if no address can be bound.
     pub async fn start(name: &str) -> deployment::Result<Upstream> {
         let listener = tcp::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let listener = sync::Arc::new(listener);
         let upstream = Upstream {
             name: name.to_owned(),
             address: listener.local_addr()?,
             state: sync::Arc::default(),
-            listener: sync::Arc::new(listener),
+            listener: sync::Arc::new(parking_lot::Mutex::new(Some(listener.clone()))),
+            crash: sync::Arc::default(),
             path_faults: sync::Arc::default(),
         };
         let acceptor = upstream.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, peer)) = acceptor.listener.accept().await {
-                let upstream = acceptor.clone();
-                tokio::spawn(async move { upstream.serve_on_path(stream, peer.ip()).await });
-            }
-        });
+        tokio::spawn(async move { acceptor.accept(listener).await });
         Ok(upstream)
     }
 
+    /// Accepts connections until the upstream crashes.
+    async fn accept(&self, listener: sync::Arc<tcp::TcpListener>) {
+        loop {
+            let accepted = tokio::select! {
+                () = self.crashed() => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, peer)) = accepted else {
+                return;
+            };
+            let upstream = self.clone();
+            tokio::spawn(async move { upstream.serve_on_path(stream, peer.ip()).await });
+        }
+    }
+
+    /// Ends the upstream like a process: its connections are closed and new ones are refused.
+    fn crash(&self) {
+        self.listener.lock().take();
+        self.crash.send_replace(true);
+    }
+
+    /// Waits until the upstream has crashed.
+    async fn crashed(&self) {
+        // The sender is a field of the upstream, so that the channel stays open.
+        let _ = self.crash.subscribe().wait_for(|crashed| *crashed).await;
+    }
+
     /// Sets or ends a fault of the path between an instance and the upstream. `source` is the
     /// address from which the instance connects.
     ///
@@ -169,7 +118,10 @@
         source: net::IpAddr,
         fault: Option<PathFault>,
     ) -> deployment::Result<()> {
-        Ok(self.path_faults.set(&self.listener, source, fault)?)
+        match self.listener.lock().as_ref() {
+            Some(listener) => Ok(self.path_faults.set(listener, source, fault)?),
+            None => Ok(()),
+        }
     }
 
     /// Serves a connection as long as its path has no fault.
@@ -182,6 +134,7 @@
         loop {
             let fault = tokio::select! {
                 served = &mut serving => return served,
+                () = self.crashed() => return None,
                 fault = self.path_faults.broken(source) => fault,
             };
             if fault == PathFault::Reset {
@@ -303,7 +256,7 @@
             }
             return Some(());
         }
-        if request.request_line.contains("/stream/") && sends_streams(behavior) {
+        if request.request_line.contains("/stream/") && behavior.sends_streams() {
             return self.send_stream(stream, &request, behavior).await;
         }
         self.respond(stream, &request.id, behavior).await
@@ -397,6 +350,10 @@
                         .await;
                     return Some(());
                 }
+                Behavior::CrashAfterEventOnPart(part) if sent == 1 && request.has_part(part) => {
+                    self.crash();
+                    return Some(());
+                }
                 Behavior::HangAfter(count) if sent == count => {
                     self.wait_for_close(stream).await;
                     return Some(());
@@ -426,18 +383,3 @@
         self.state.lock().disconnects += 1;
     }
 }
-
-/// Returns `true` if an upstream with this behavior responds to stream requests with a stream.
-fn sends_streams(behavior: Behavior) -> bool {
-    matches!(
-        behavior,
-        Behavior::Normal
-            | Behavior::CrashOnPart(_)
-            | Behavior::CrashOnBody(_)
-            | Behavior::Leaving
-            | Behavior::Limited(_)
-            | Behavior::CutAfter(_)
-            | Behavior::HangAfter(_)
-            | Behavior::GapAfterTwo(_)
-    )
-}
--- a/standins/tests/prompt_parts.rs
+++ b/standins/tests/prompt_parts.rs
@@ -7,6 +7,7 @@
     daemon::{self, CallerResponse, Deployment},
     upstream::{self, Behavior},
 };
+use test_case::test_case;
 
 /// The part on which upstreams crash.
 const DEADLY_PART: u64 = 0xdead;
@@ -46,14 +47,16 @@
         .count()
 }
 
+#[test_case(Behavior::CrashOnPart(DEADLY_PART); "before their response")]
+#[test_case(Behavior::CrashAfterEventOnPart(DEADLY_PART); "after their first event")]
 #[tokio::test]
-async fn a_part_that_crashes_upstreams_does_not_reach_one_after_the_other() {
+async fn a_part_that_crashes_upstreams_does_not_reach_one_after_the_other(behavior: Behavior) {
     let deployment = Deployment::start(2, UPSTREAMS).await.expect("deployment");
     deployment
         .wait_for_common_planner()
         .await
         .expect("common planner");
-    deployment.set_behavior(Behavior::CrashOnPart(DEADLY_PART));
+    deployment.set_behavior(behavior);
     let mut statuses = Vec::new();
     for number in 0..12 {
         let (deadly, sound) = tokio::join!(
