Screen all parts of a prompt

Cause: the adapter dropped the parts behind the 32nd silently, as the table of evidence was small and searched one by one. Change: up to 4,096 parts are screened, also from several header lines, and a head with more is rejected with status 431. The table is ordered by strength and age of evidence; the parts of planned requests and of waiting heads are bounded and counted. The test that a long list is cut became tests that all of it is decoded and a longer one rejected; the bound of the table went from 1,024 causes to those of two of the largest requests, since one such request needs more.

--- a/limpetkeel/src/crash_screening.rs
+++ b/limpetkeel/src/crash_screening.rs
@@ -5,20 +5,21 @@
 //! since its upstream may still crash. What remains are the causes that the crashes have in common. Their requests are admitted one at a time, as trials; a cause whose
 //! trial crashes is quarantined, and is tried again after a back-off.
 
+mod cause_table;
 mod screened_cause;
 
 use std::collections;
 
 use crate::{crash_cause, grant, name, unit};
 
-/// The number of parts of a prompt that are screened.
-pub const MAX_PARTS_PER_REQUEST: usize = 32;
+/// The most parts that a prompt may have. A request head of 16 KiB holds fewer.
+pub const MAX_PARTS_PER_REQUEST: usize = 4_096;
 
-/// The number of causes of a request that are screened: the request itself and its parts.
+/// The number of causes of a request: the request itself and its parts.
 pub const MAX_CAUSES_PER_REQUEST: usize = 1 + MAX_PARTS_PER_REQUEST;
 
-/// The number of causes with evidence that are kept.
-const MAX_SCREENED_CAUSES: usize = 1_024;
+/// The number of causes with evidence that are kept: those of two of the largest requests.
+const MAX_SCREENED_CAUSES: usize = 2 * MAX_CAUSES_PER_REQUEST;
 
 /// The retry delay for a request that is refused because a trial of its cause is in progress.
 const TRIAL_RETRY_AFTER: unit::Millis = unit::Millis(400);
@@ -101,7 +102,7 @@
 /// The causes of crashes with evidence against them.
 #[derive(Debug, Default)]
 pub struct CrashScreening {
-    causes: collections::BTreeMap<crash_cause::CrashCause, screened_cause::ScreenedCause>,
+    causes: cause_table::CauseTable,
     /// The quarantines that were lifted here and may still be listed elsewhere, with their crashes.
     lifted: collections::BTreeMap<crash_cause::CrashCause, u32>,
     updates: Vec<crash_cause::QuarantineUpdate>,
@@ -113,13 +114,21 @@
     pub fn screen(&mut self, now: unit::Timestamp, causes: &[crash_cause::CrashCause]) -> Verdict {
         self.remove_expired(now);
         let mut verdict = Verdict::Clear;
+        if self.causes.is_empty() {
+            return verdict;
+        }
+        let mut lacking = None;
         for cause in causes.iter().take(MAX_CAUSES_PER_REQUEST) {
-            let Some(screened) = self.causes.get(cause) else {
+            let Some(screened) = self.causes.get(*cause) else {
                 continue;
             };
             let admission = match screened.admission(now) {
                 screened_cause::Admission::Held(_) | screened_cause::Admission::Rejected
-                    if self.lacks_other_cause(screened, causes) =>
+                    if screened.phase() != screened_cause::Phase::OnTrial
+                        && lacking
+                            .get_or_insert_with(|| self.evidence_lacking(causes))
+                            .iter()
+                            .any(|other| other.explains(screened)) =>
                 {
                     screened_cause::Admission::Trial
                 }
@@ -143,18 +152,21 @@
         verdict
     }
 
-    /// Returns `true` if a request lacks a cause that explains the crashes of `screened` as well, and
-    /// `screened` is not on trial. Only such a request tells the two causes apart.
-    fn lacks_other_cause(
+    /// Returns the suspected causes that a request lacks, one for each set of crashes. A request that
+    /// lacks a cause with the crashes of one that it has tells the two causes apart.
+    fn evidence_lacking(
         &self,
-        screened: &screened_cause::ScreenedCause,
         causes: &[crash_cause::CrashCause],
-    ) -> bool {
-        screened.phase() != screened_cause::Phase::OnTrial
-            && self
-                .causes
-                .iter()
-                .any(|(cause, other)| !causes.contains(cause) && other.explains(screened))
+    ) -> Vec<&screened_cause::ScreenedCause> {
+        let causes: collections::BTreeSet<_> = causes.iter().collect();
+        let mut lacking: Vec<&screened_cause::ScreenedCause> = Vec::new();
+        for (cause, screened) in self.causes.suspected() {
+            let is_known = || lacking.iter().any(|other| other.has_crashes_of(screened));
+            if !causes.contains(&cause) && !is_known() {
+                lacking.push(screened);
+            }
+        }
+        lacking
     }
 
     /// Returns the request among the causes if it is suspected and explains its crashes as well as
@@ -165,14 +177,14 @@
     ) -> Option<crash_cause::CrashCause> {
         let explaining = self.explaining_crashes(causes);
         let request = causes.iter().find(|cause| cause.is_request())?;
-        let screened = self.causes.get(request)?;
+        let screened = self.causes.get(*request)?;
         let explains = screened.is_suspected() && Some(screened.crashes()) == explaining;
         explains.then_some(*request)
     }
 
     /// Returns the largest number of crashes of a suspected cause, or `None` if none is suspected.
     fn explaining_crashes(&self, causes: &[crash_cause::CrashCause]) -> Option<u32> {
-        let screened = causes.iter().filter_map(|cause| self.causes.get(cause));
+        let screened = causes.iter().filter_map(|cause| self.causes.get(*cause));
         let suspected = screened.filter(|screened| screened.is_suspected());
         suspected.map(|screened| screened.crashes()).max()
     }
@@ -209,26 +221,27 @@
         let explaining = self.explaining_crashes(causes);
         let repeated = self.repeated_request(causes);
         let (counted, explained): (Vec<_>, Vec<_>) = causes.iter().partition(|cause| {
-            let screened = self.causes.get(cause);
+            let screened = self.causes.get(**cause);
             let crashes = screened.map_or(0, |screened| screened.crashes());
             explaining.is_none_or(|explaining| crashes >= explaining)
                 && repeated.is_none_or(|request| request == **cause)
         });
-        for cause in &counted {
-            if !self.causes.contains_key(cause) {
-                self.evict();
-                let screened = screened_cause::ScreenedCause::reported(now, *cause, crash);
-                self.causes.insert(*cause, screened);
-            }
-        }
-        self.update(&counted, |screened| screened.record_crash(now, crash));
+        let (known, new): (Vec<_>, Vec<_>) = counted
+            .into_iter()
+            .partition(|cause| self.causes.contains(*cause));
+        self.update(&known, |screened| screened.record_crash(now, crash));
         self.end_trial(crash.plan, &explained);
+        for cause in new {
+            self.evict();
+            let screened = screened_cause::ScreenedCause::reported(now, cause, crash);
+            self.causes.insert(cause, screened);
+        }
     }
 
     /// Records that the response to a request with these causes ended well, which clears them.
     pub fn record_response(&mut self, causes: &[crash_cause::CrashCause]) {
         for cause in causes.iter().take(MAX_CAUSES_PER_REQUEST) {
-            if let Some(screened) = self.causes.remove(cause) {
+            if let Some(screened) = self.causes.remove(*cause) {
                 self.lift(*cause, &screened, CauseDecisionKind::Cleared);
             }
         }
@@ -243,20 +256,17 @@
         now: unit::Timestamp,
         quarantines: &[crash_cause::Quarantine],
     ) {
-        let is_listed = |cause: &crash_cause::CrashCause| {
-            quarantines
-                .iter()
-                .any(|quarantine| quarantine.cause == *cause)
-        };
-        self.lifted.retain(|cause, _| is_listed(cause));
+        let listed = quarantines.iter().map(|quarantine| quarantine.cause);
+        let listed: collections::BTreeSet<_> = listed.collect();
+        self.lifted.retain(|cause, _| listed.contains(cause));
         let withdrawn: Vec<_> = self
             .causes
             .iter()
-            .filter(|(cause, screened)| screened.is_listed() && !is_listed(cause))
-            .map(|(cause, _)| *cause)
+            .filter(|(cause, screened)| screened.is_listed() && !listed.contains(cause))
+            .map(|(cause, _)| cause)
             .collect();
         for cause in withdrawn {
-            self.causes.remove(&cause);
+            self.causes.remove(cause);
         }
         for quarantine in quarantines {
             let lifted = self.lifted.get(&quarantine.cause);
@@ -264,7 +274,7 @@
                 continue;
             }
             self.lifted.remove(&quarantine.cause);
-            let known = self.causes.remove(&quarantine.cause);
+            let known = self.causes.remove(quarantine.cause);
             let screened = screened_cause::ScreenedCause::listed(now, known, *quarantine);
             self.evict();
             self.causes.insert(quarantine.cause, screened);
@@ -298,7 +308,7 @@
         transition: impl Fn(screened_cause::ScreenedCause) -> screened_cause::ScreenedCause,
     ) {
         for cause in causes.iter().take(MAX_CAUSES_PER_REQUEST) {
-            let Some(screened) = self.causes.remove(cause) else {
+            let Some(screened) = self.causes.remove(*cause) else {
                 continue;
             };
             let before = (screened.phase(), screened.crashes());
@@ -363,14 +373,8 @@
 
     /// Removes the causes whose evidence or quarantine has expired.
     fn remove_expired(&mut self, now: unit::Timestamp) {
-        let expired: Vec<_> = self
-            .causes
-            .iter()
-            .filter(|(_, screened)| screened.is_expired(now))
-            .map(|(cause, _)| *cause)
-            .collect();
-        for cause in expired {
-            if let Some(screened) = self.causes.remove(&cause) {
+        while let Some(cause) = self.causes.expired(now) {
+            if let Some(screened) = self.causes.remove(cause) {
                 self.lift(cause, &screened, CauseDecisionKind::Expired);
             }
         }
@@ -381,12 +385,8 @@
         if self.causes.len() < MAX_SCREENED_CAUSES {
             return;
         }
-        let weakest = self
-            .causes
-            .iter()
-            .min_by_key(|(_, screened)| (screened.phase(), screened.last_crash()));
-        if let Some(cause) = weakest.map(|(cause, _)| *cause)
-            && let Some(screened) = self.causes.remove(&cause)
+        if let Some(cause) = self.causes.weakest()
+            && let Some(screened) = self.causes.remove(cause)
         {
             self.lift(cause, &screened, CauseDecisionKind::Expired);
         }
--- a/limpetkeel/src/crash_screening/screened_cause.rs
+++ b/limpetkeel/src/crash_screening/screened_cause.rs
@@ -159,6 +159,16 @@
     OnTrial,
 }
 
+impl Phase {
+    /// The states, in their order.
+    pub(super) const ALL: [Phase; 4] = [
+        Phase::Reported,
+        Phase::Suspected,
+        Phase::Quarantined,
+        Phase::OnTrial,
+    ];
+}
+
 /// How a request with the cause is admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Admission {
@@ -269,6 +279,12 @@
             && others.upstreams.iter().all(|u| own.upstreams.contains(u))
     }
 
+    /// Returns `true` if both causes have the same crashes, as far as they are remembered.
+    pub(super) fn has_crashes_of(&self, other: &ScreenedCause) -> bool {
+        let (own, others) = (self.evidence(), other.evidence());
+        own.crashes == others.crashes && own.upstreams == others.upstreams
+    }
+
     /// Returns `true` if a plan is the trial of the cause.
     fn is_trial(&self, plan: grant::RequestId) -> bool {
         match self {
--- a/limpetkeel/src/error.rs
+++ b/limpetkeel/src/error.rs
@@ -109,6 +109,9 @@
     },
     /// Every engine that prefills long prompts already helps as many leads as it accepts.
     NoHelper,
+    /// The planner has no memory for the many parts of the prompt, which it would have to keep until
+    /// the request ends.
+    PlannerFull,
     /// Upstreams crashed on the request or a part of its prompt, which is on trial or quarantined.
     PartHeldBack {
         /// The time until another such request may be admitted.
@@ -208,6 +211,7 @@
             Error::AwaitingCapacity { .. } => "awaiting_capacity",
             Error::NoCapacity { .. } => "no_capacity",
             Error::NoHelper => "no_helper",
+            Error::PlannerFull => "planner_full",
             Error::PartHeldBack { .. } => "part_held_back",
             Error::RequestQuarantined => "request_quarantined",
             Error::DeadlineWhileWaiting => "deadline_while_waiting",
@@ -254,6 +258,7 @@
             | Error::AwaitingCapacity { .. }
             | Error::NoCapacity { .. }
             | Error::NoHelper
+            | Error::PlannerFull
             | Error::DeadlineWhileWaiting
             | Error::BodyBudgetExhausted
             | Error::QueueFull
@@ -323,6 +328,7 @@
                 write!(f, "the upstreams have no capacity for {retry_after}")
             }
             Error::NoHelper => f.write_str("no engine can prefill a part of the prompt now"),
+            Error::PlannerFull => f.write_str("the planner has no memory for so many parts"),
             Error::PartHeldBack { retry_after } => write!(
                 f,
                 "upstreams crashed on such requests, which are held back for {retry_after}"
--- a/limpetkeel/src/planner.rs
+++ b/limpetkeel/src/planner.rs
@@ -91,6 +91,8 @@
     prefill_set: prefill_set::PrefillSet,
     health: health::UpstreamHealth,
     plans: collections::BTreeMap<grant::RequestId, ledger::PlanRecord>,
+    /// The number of causes in the plans.
+    planned_causes: usize,
     screening: crash_screening::CrashScreening,
     waiting: waiting::WaitingList,
     /// How much later than computed the responses to long prompts begin.
@@ -115,6 +117,7 @@
             prefill_set: prefill_set::PrefillSet::default(),
             health: health::UpstreamHealth::default(),
             plans: collections::BTreeMap::new(),
+            planned_causes: 0,
             screening: crash_screening::CrashScreening::default(),
             waiting: waiting::WaitingList::default(),
             prefill_delay: delay::Delay::new(
@@ -181,6 +184,7 @@
     /// [`error::Error::NoCapacity`] if it would have to wait too long for its turn or if its caller
     /// would give up before the response begins, [`error::Error::NoHelper`] if
     /// no engine accepts a part of the prompt,
+    /// [`error::Error::PlannerFull`] if the prompt has more parts than there is memory for,
     /// [`error::Error::PartHeldBack`] if upstreams crashed on a part of the prompt,
     /// [`error::Error::RequestQuarantined`] if they crashed on the request itself, and
     /// [`error::Error::WouldMissDeadline`] if the estimate of a request that one upstream serves
@@ -197,6 +201,9 @@
         if self.open_upstream_count() == 0 {
             return Err(self.no_candidate());
         }
+        if !self.has_room_for_causes(request.causes.len()) {
+            return Err(error::Error::PlannerFull);
+        }
         let isolation = self.screen(now, request)?;
         let isolated;
         let request = match isolation {
--- a/limpetkeel/src/planner/ledger.rs
+++ b/limpetkeel/src/planner/ledger.rs
@@ -139,7 +139,7 @@
             decode,
             expected_end: now.after(until_first_token + decode),
             expires_at: now.after(reported_plan.remaining + EXPIRY_GRACE),
-            causes: reported_plan.causes.clone(),
+            causes: self.kept_causes(&reported_plan.causes),
             lead: lead_lifetime,
             response_begun: reported_plan.response_begun,
             slow_after: evidence::slow_after(
@@ -148,6 +148,7 @@
             ),
             was_slow: false,
         };
+        self.planned_causes += record.causes.len();
         self.plans.insert(plan.id, record);
     }
 
@@ -213,6 +214,7 @@
         let Some(record) = self.plans.remove(&id) else {
             return;
         };
+        self.planned_causes -= record.causes.len();
         self.screening.end_trial(id, &record.causes);
         if let Some(lead) = record.participants.last() {
             self.ejections.end_trial(now, lead, id);
--- a/limpetkeel/src/planner/screening.rs
+++ b/limpetkeel/src/planner/screening.rs
@@ -2,6 +2,13 @@
 
 use crate::{crash_cause, crash_screening, error, plan, planner, unit};
 
+/// The number of causes that the plans of one planner contain at most, apart from those of requests
+/// with few causes.
+const MAX_PLANNED_CAUSES: usize = 1 << 19;
+
+/// The number of causes up to which a request needs no room among the planned ones.
+const FEW_CAUSES: usize = 64;
+
 /// Whether a request is kept apart from other requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Isolation {
@@ -39,6 +46,22 @@
         self.screening.take_decisions()
     }
 
+    /// Returns `true` if there is room for a plan with so many causes.
+    pub(super) fn has_room_for_causes(&self, count: usize) -> bool {
+        count <= FEW_CAUSES || self.planned_causes + count <= MAX_PLANNED_CAUSES
+    }
+
+    /// Returns the causes of a plan that are kept: all of them, or the first ones of a plan of
+    /// another planner for which there is no room.
+    pub(super) fn kept_causes(
+        &self,
+        causes: &[crash_cause::CrashCause],
+    ) -> Vec<crash_cause::CrashCause> {
+        let has_room = self.has_room_for_causes(causes.len());
+        let kept = if has_room { causes.len() } else { FEW_CAUSES };
+        causes[..kept].to_vec()
+    }
+
     /// Checks whether a request may be planned, in view of its causes.
     pub(super) fn screen(
         &mut self,
--- a/limpetkeel/src/quarantine_list.rs
+++ b/limpetkeel/src/quarantine_list.rs
@@ -268,9 +268,14 @@
     }
 
     /// Applies an update of a local planner and queues it to be written to the store. It replaces
-    /// an earlier update of the same cause. If the queue is full, the oldest update is removed.
+    /// an earlier update of the same cause. If the queue is full, the oldest update is removed. The
+    /// end of a quarantine that nobody knows is not published.
     pub fn publish(&mut self, now: unit::Timestamp, update: crash_cause::QuarantineUpdate) {
         let cause = cause_of(update);
+        let is_listed = self.stored.contains_key(&cause) || self.local.contains_key(&cause);
+        if imposed(update).is_none() && !is_listed {
+            return;
+        }
         let local = LocalUpdate {
             update,
             position: self.take_position(),
--- a/limpetkeel/tests/planner_screening.rs
+++ b/limpetkeel/tests/planner_screening.rs
@@ -319,6 +319,24 @@
     }
 }
 
+#[test]
+fn requests_with_very_many_parts_are_refused_once_their_planner_has_no_room_for_them() {
+    let mut planner = pool::planner(90);
+    let many: Vec<_> = (0..4_096).map(CrashCause::Part).collect();
+    let planned = (0..1_000).map(|id| planner.plan(Timestamp(0), &request(id, &many)));
+    let planned: Vec<_> = planned.collect();
+    let refused = planned.iter().position(Result::is_err);
+    let refused = refused.expect("a refused request");
+    assert_eq!(refused, (1 << 19) / 4_096);
+    assert_eq!(planned[refused], Err(Error::PlannerFull));
+    plan(&mut planner, 10, 2_000, &many[..32]);
+    for planned in planned.iter().take(2) {
+        let ended = planned.as_ref().expect("plan");
+        report(&mut planner, 20, ended, AttemptResult::Inconclusive);
+    }
+    plan(&mut planner, 20, 2_001, &many);
+}
+
 #[test]
 fn a_sound_request_that_waits_beside_a_deadly_one_is_cleared_by_its_trial() {
     let mut planner = pool::planner(9);
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -47,6 +47,13 @@
 /// by doubling, and in the copy that is sent to an upstream.
 const HEADER_LINE_MEMORY_BYTES: usize = 512;
 
+/// Parts of a prompt whose memory is part of the state of a request.
+const MAX_UNRESERVED_PARTS: usize = 32;
+
+/// Memory of a part of a prompt, in bytes: in the request, in its plan, and while the plan is
+/// requested.
+const PART_MEMORY_BYTES: usize = 64;
+
 /// Retry delay sent with a not-run refusal at admission, such as before the first routing table
 /// arrives or when there is no memory for the body.
 const RETRY_AFTER: Millis = Millis(300);
@@ -196,13 +203,16 @@
     res.map(|()| body::complete(Bytes::new()))
 }
 
-/// Reserves the memory of many header lines, which may take far more than their text.
-fn reserve_header_lines(
+/// Reserves the memory of many header lines and of many parts of a prompt, which may take far more
+/// than their text.
+fn reserve_head(
     shared: &shared::Shared,
     headers: &http::HeaderMap,
+    parts: usize,
 ) -> Result<memory::Reservation, MemoryExhausted> {
     let lines = headers.len().saturating_sub(MAX_UNRESERVED_LINES);
-    let len = lines * HEADER_LINE_MEMORY_BYTES;
+    let parts = parts.saturating_sub(MAX_UNRESERVED_PARTS);
+    let len = lines * HEADER_LINE_MEMORY_BYTES + parts * PART_MEMORY_BYTES;
     shared.memory.try_reserve(MemoryShare::RequestHeads, len)
 }
 
@@ -217,9 +227,13 @@
     let received = shared.clock.now();
     let head = head.map_err(|e| {
         record_refusal(shared, e.code(), None);
-        port::Refusal::InvalidHead
+        match e {
+            port::HeadError::TooManyParts => port::Refusal::HeadTooLarge,
+            _ => port::Refusal::InvalidHead,
+        }
     })?;
-    let head_memory = reserve_header_lines(shared, &parts.headers).map_err(|MemoryExhausted| {
+    let reserved = reserve_head(shared, &parts.headers, head.parts.len());
+    let head_memory = reserved.map_err(|MemoryExhausted| {
         record_refusal(shared, "no_memory", Some(&head.id));
         port::Refusal::NotRun(RETRY_AFTER)
     })?;
--- a/limpetkeeld/src/relay/local_planner.rs
+++ b/limpetkeeld/src/relay/local_planner.rs
@@ -115,6 +115,9 @@
     );
 }
 
+/// The number of decisions about causes that are logged at once.
+const MAX_LOGGED_CAUSES: usize = 64;
+
 /// What a planner has decided about causes of crashes and about failing upstreams.
 struct Decisions {
     screened: Vec<CauseDecision>,
@@ -143,10 +146,17 @@
         publish_ejection(shared, pool, &decision);
     }
     publish_cold(shared, pool, &decisions.cold);
-    for decision in decisions.screened {
+    let unlogged = decisions.screened.len().saturating_sub(MAX_LOGGED_CAUSES);
+    if unlogged > 0 {
+        tracing::info!(event = "causes_screened", pool = %pool, unlogged);
+    }
+    for (position, decision) in decisions.screened.iter().enumerate() {
         let code = decision.kind.code();
         let relay = &shared.metrics.relay;
         relay.part_decisions.with_label_values(&[code]).inc();
+        if position >= MAX_LOGGED_CAUSES {
+            continue;
+        }
         tracing::info!(
             event = "cause_screened",
             pool = %pool,
--- a/limpetkeeld/src/relay/port.rs
+++ b/limpetkeeld/src/relay/port.rs
@@ -42,6 +42,8 @@
     MissingHost,
     /// A header is malformed.
     Malformed,
+    /// The prompt has more parts than are screened.
+    TooManyParts,
 }
 
 impl HeadError {
@@ -51,6 +53,7 @@
             HeadError::MissingId => "missing_id",
             HeadError::MissingHost => "missing_host",
             HeadError::Malformed => "malformed_header",
+            HeadError::TooManyParts => "too_many_parts",
         }
     }
 }
@@ -111,6 +114,8 @@
 pub enum Refusal {
     /// The request head is invalid.
     InvalidHead,
+    /// The request head holds more than is accepted.
+    HeadTooLarge,
     /// The body is too large.
     BodyTooLarge,
     /// The head or the body did not arrive in time. The request has not run.
--- a/standins/src/bin/capacity.rs
+++ b/standins/src/bin/capacity.rs
@@ -11,7 +11,7 @@
 Measures the resource use of instances and the cost of decisions at several sizes, and prints
 tables.
 
-Usage: capacity [--only decisions|overhead|recovery|members|zones|upstreams|requests]
+Usage: capacity [--only decisions|screening|overhead|recovery|members|zones|upstreams|requests]
 ";
 
 const fn size(zones: u8, daemons: u8, engines: u8, rate: u32) -> FleetSize {
@@ -76,6 +76,26 @@
     }
 }
 
+fn print_screening_costs() {
+    println!(
+        "\n| parts | decode \u{b5}s | screen \u{b5}s | screen suspected \u{b5}s | crash \u{b5}s | clear \u{b5}s |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for parts in [1, 32, 256, limpetkeel::MAX_PARTS_PER_REQUEST] {
+        if let Some(cost) = capacity::measure_screening_cost(parts) {
+            println!(
+                "| {} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} |",
+                cost.parts,
+                cost.decode_us,
+                cost.screen_us,
+                cost.screen_suspected_us,
+                cost.crash_us,
+                cost.clear_us
+            );
+        }
+    }
+}
+
 async fn print_series(name: &str, sizes: &[FleetSize]) -> fleet::Result<()> {
     println!("\n{name}\n");
     println!(
@@ -156,6 +176,9 @@
     if only.is_none_or(|only| only == "decisions") {
         print_decision_costs();
     }
+    if only.is_none_or(|only| only == "screening") {
+        print_screening_costs();
+    }
     if only.is_none_or(|only| only == "overhead") {
         let latency = capacity::measure_latency().await?;
         println!("\n| microseconds | p50 | p99 |\n|---|---|---|");
--- a/standins/src/capacity.rs
+++ b/standins/src/capacity.rs
@@ -3,6 +3,7 @@
 mod decisions;
 mod latency;
 mod recovery;
+mod screening;
 mod usage;
 
 use std::time;
@@ -15,6 +16,7 @@
 pub use decisions::{DecisionCost, measure as measure_decision_cost};
 pub use latency::{LatencyComparison, measure as measure_latency};
 pub use recovery::{CallRates, Recovery, measure as measure_recovery};
+pub use screening::{ScreeningCost, measure as measure_screening_cost};
 pub use usage::{CounterSample, InstanceUsage};
 
 /// How long to observe an idle fleet.
