Keep the evidence of crashes for an hour

Cause: evidence without a quarantine was forgotten 30 s after the last crash, and a quarantine that expired left none. Change: evidence is kept for an hour; a response that ends well clears it as before. A cause whose quarantine expires is suspected, so that its next request is a trial. Result: two_crashes_of_a_part_that_comes_rarely_suspect_it and a_part_that_comes_rarely_crashes_one_upstream_at_a_time (301 s) failed before and pass. The tests of expiry have the new lifetimes and are otherwise unchanged.

--- a/limpetkeel/src/crash_screening.rs
+++ b/limpetkeel/src/crash_screening.rs
@@ -371,11 +371,14 @@
         });
     }
 
-    /// Removes the causes whose evidence or quarantine has expired.
+    /// Ends the quarantines that have expired, and removes the causes whose evidence has.
     fn remove_expired(&mut self, now: unit::Timestamp) {
         while let Some(cause) = self.causes.expired(now) {
             if let Some(screened) = self.causes.remove(cause) {
                 self.lift(cause, &screened, CauseDecisionKind::Expired);
+                if let Some(screened) = screened.expire(now) {
+                    self.causes.insert(cause, screened);
+                }
             }
         }
     }
--- a/limpetkeel/src/crash_screening/screened_cause.rs
+++ b/limpetkeel/src/crash_screening/screened_cause.rs
@@ -2,7 +2,8 @@
 //!
 //! `Reported` becomes `Suspected` with the second crash. `Suspected` and `Quarantined` become
 //! `OnTrial` when a request with the cause is admitted. A trial that crashes leads to `Quarantined`;
-//! one without a result leads back to the former state. A cause that is cleared is dropped.
+//! one without a result leads back to the former state. A quarantine that expires leads back to
+//! `Suspected`. A cause that is cleared is dropped.
 
 use crate::{
     crash_cause,
@@ -20,8 +21,8 @@
 /// their plans were made after it.
 const CRASH_SEPARATION: unit::Millis = unit::Millis(200);
 
-/// How long evidence without a quarantine is kept after the last crash.
-const EVIDENCE_LIFETIME: unit::Millis = unit::Millis(30_000);
+/// How long evidence is kept after the last crash. A part may come rarely.
+const EVIDENCE_LIFETIME: unit::Millis = unit::Millis(3_600_000);
 
 /// The time until the first trial of a quarantined part. It doubles with each further crash.
 const INITIAL_PART_BACK_OFF: unit::Millis = unit::Millis(10_000);
@@ -140,6 +141,15 @@
     }
 }
 
+impl Cause<Quarantined> {
+    fn release(self) -> Cause<Suspected> {
+        Cause {
+            evidence: self.evidence,
+            state: Suspected(()),
+        }
+    }
+}
+
 impl<S> Cause<OnTrial<S>> {
     /// Returns to the former state.
     fn end(self) -> Cause<S> {
@@ -328,7 +338,8 @@
         }
     }
 
-    /// Returns `true` if the evidence or the quarantine has expired.
+    /// Returns `true` if the evidence or the quarantine has expired. See
+    /// [`expire`](ScreenedCause::expire).
     pub(super) fn is_expired(&self, now: unit::Timestamp) -> bool {
         let age = now.since(self.last_crash());
         match self.phase() {
@@ -338,6 +349,19 @@
         }
     }
 
+    /// Returns the state after the end of the current one: a cause whose quarantine has expired is
+    /// still suspected, unless its evidence has expired as well.
+    pub(super) fn expire(self, now: unit::Timestamp) -> Option<ScreenedCause> {
+        match self {
+            ScreenedCause::Quarantined(cause)
+                if now.since(cause.evidence.last_crash) < EVIDENCE_LIFETIME =>
+            {
+                Some(ScreenedCause::Suspected(cause.release()))
+            }
+            _ => None,
+        }
+    }
+
     /// Returns how a request with the cause is admitted.
     pub(super) fn admission(&self, now: unit::Timestamp) -> Admission {
         match self {
--- a/limpetkeel/tests/crash_screening.rs
+++ b/limpetkeel/tests/crash_screening.rs
@@ -247,14 +247,42 @@
 fn evidence_expires_without_further_crashes() {
     let mut screening = CrashScreening::default();
     crash(&mut screening, 0, 1, &[DEADLY]);
-    crash(&mut screening, 29_000, 2, &[DEADLY]);
-    begin_trial(&mut screening, 58_000, 3, &[DEADLY]);
+    crash(&mut screening, 3_500_000, 2, &[DEADLY]);
+    begin_trial(&mut screening, 7_000_000, 3, &[DEADLY]);
     screening.end_trial(RequestId(3), &[DEADLY]);
-    let verdict = screening.screen(Timestamp(60_000), &[DEADLY]);
+    let verdict = screening.screen(Timestamp(7_100_000), &[DEADLY]);
     assert_eq!(verdict, ScreeningVerdict::Clear);
     assert!(screening.is_empty());
 }
 
+#[test_case(31_000)]
+#[test_case(301_000; "more rarely than quarantines last")]
+fn a_part_that_comes_rarely_crashes_one_upstream_at_a_time(interval: u64) {
+    let mut screening = quarantined(DEADLY);
+    for number in 1..=10 {
+        let now = 2_000 + number * interval;
+        if matches!(
+            screening.screen(Timestamp(now), &[DEADLY]),
+            ScreeningVerdict::Refused { .. }
+        ) {
+            continue;
+        }
+        begin_trial(&mut screening, now, 10 + number, &[DEADLY]);
+        crash(&mut screening, now + 100, 10 + number, &[DEADLY]);
+        retry_after(&mut screening, now + 101, DEADLY);
+    }
+}
+
+#[test]
+fn two_crashes_of_a_part_that_comes_rarely_suspect_it() {
+    let mut screening = CrashScreening::default();
+    crash(&mut screening, 0, 1, &[DEADLY]);
+    crash(&mut screening, 31_000, 2, &[DEADLY]);
+    begin_trial(&mut screening, 62_000, 3, &[DEADLY]);
+    crash(&mut screening, 62_100, 3, &[DEADLY]);
+    retry_after(&mut screening, 62_101, DEADLY);
+}
+
 #[test]
 fn a_quarantine_expires_and_is_lifted_for_all() {
     let mut screening = quarantined(DEADLY);
@@ -262,8 +290,11 @@
     let verdict = screening.screen(Timestamp(200_000), &[DEADLY]);
     assert_eq!(verdict, ScreeningVerdict::Trial);
     let verdict = screening.screen(Timestamp(400_000), &[DEADLY]);
-    assert_eq!(verdict, ScreeningVerdict::Clear);
+    assert_eq!(verdict, ScreeningVerdict::Trial, "suspected");
     assert_eq!(screening.take_updates(), [QuarantineUpdate::Lifted(DEADLY)]);
+    let verdict = screening.screen(Timestamp(3_700_000), &[DEADLY]);
+    assert_eq!(verdict, ScreeningVerdict::Clear);
+    assert!(screening.take_updates().is_empty());
 }
 
 #[test]
