Apply changed request limits to open connections

Cause: the limits were read when a connection was accepted and handed to hyper for good. Change: the stream of the connection counts the bytes of a head and the idle time by the limits in force when they begin, and refuses what exceeds them. Hyper's own bounds are only an upper one; reads are bounded, by which its buffer stays as small for bodies. The growth of a buffer beyond the size at acceptance counts in the memory account.

--- a/limpetkeeld/src/relay/caller_connection.rs
+++ b/limpetkeeld/src/relay/caller_connection.rs
@@ -4,13 +4,21 @@
 use std::{collections, sync};
 
 use limpetkeel::{
-    AdmittedConnection, ClosedConnection, ConnectionId, ConnectionPhase, ConnectionTable,
-    MemoryExhausted, MemoryShare,
+    AdmittedConnection, Bytes, ClosedConnection, ConnectionId, ConnectionPhase, ConnectionTable,
+    MemoryExhausted, MemoryShare, Millis, RequestLimits,
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::relay::{memory, shared};
 
+/// Request limits that apply until the first routing table arrives.
+pub const DEFAULT_LIMITS: RequestLimits = RequestLimits {
+    max_head: Bytes(16 * 1024),
+    max_body: Bytes(4 * 1024 * 1024),
+    head_timeout: Millis(3_000),
+    idle_timeout: Millis(15_000),
+};
+
 /// The size of the system's receive buffer of a connection, in bytes. It suffices for 128 Mbit/s
 /// over a round trip of 2 ms. The system counts about twice as much toward the memory limit.
 pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
@@ -53,11 +61,19 @@
     }
 }
 
+/// Returns the request limits that are in force.
+pub fn limits(shared: &shared::Shared) -> RequestLimits {
+    let limits = shared.tables.lock().ingress.limits();
+    limits.unwrap_or(DEFAULT_LIMITS)
+}
+
 /// A connection in the table, which is removed on drop.
 pub struct CallerConnection {
     shared: sync::Arc<shared::Shared>,
     id: ConnectionId,
     close_token: CancellationToken,
+    /// The part of the memory that the read buffer may take, in bytes.
+    buffer_len: usize,
     _memory: memory::Reservation,
 }
 
@@ -107,10 +123,31 @@
             shared: shared.clone(),
             id,
             close_token,
+            buffer_len,
             _memory: memory,
         })
     }
 
+    /// Returns the request limits that are in force.
+    pub fn limits(&self) -> RequestLimits {
+        limits(&self.shared)
+    }
+
+    /// Returns the size up to which the read buffer has memory, in bytes.
+    pub fn buffer_len(&self) -> usize {
+        self.buffer_len
+    }
+
+    /// Reserves memory for a read buffer that grows beyond its size.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no memory.
+    pub fn reserve_buffer(&self, len: usize) -> Result<memory::Reservation, MemoryExhausted> {
+        let share = MemoryShare::RequestHeads;
+        self.shared.memory.try_reserve(share, len)
+    }
+
     /// Waits until the connection is closed for another one.
     pub async fn closed(&self) {
         self.close_token.cancelled().await;
@@ -175,8 +212,8 @@
         connections.table.resume_response(self.id, now);
     }
 
-    /// Records that the connection is closed since its caller was too slow.
-    pub fn record_too_slow(&self, reason: &str) {
+    /// Records that the connection is closed because its caller is too slow or sends too much.
+    pub fn record_closing(&self, reason: &str) {
         let closed = &self.shared.metrics.relay.closed_connections;
         closed.with_label_values(&[reason]).inc();
         tracing::info!(event = "connection_closed", reason);
--- a/limpetkeeld/src/relay/caller_stream.rs
+++ b/limpetkeeld/src/relay/caller_stream.rs
@@ -1,7 +1,8 @@
 //! The byte stream of a caller's connection.
 //!
-//! It tells the connection table what the caller does, ends a connection whose request head is too
-//! slow, and closes connections so that a refusal reaches a caller who is still sending.
+//! It tells the connection table what the caller does, ends a connection that is idle for too long or
+//! whose request head is too slow or too large, by the limits in force when the head begins, and closes
+//! connections so that a refusal reaches a caller who is still sending.
 
 use std::{io, mem, pin, sync, task};
 
@@ -20,10 +21,25 @@
 /// The number of bytes that are discarded at once.
 const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
 
+/// The most bytes that are read at once. The read buffer grows to twice as much, and beyond that only
+/// for a head.
+const MAX_READ_BYTES: usize = 8 * 1024;
+
+/// Added to the time that a connection may be idle, for a head that has arrived but was not read.
+const IDLE_MARGIN: Millis = Millis(1_000);
+
 /// The refusal of a request head that is too slow. The request did not run.
 const HEAD_TOO_SLOW: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// The refusal of a request head that exceeds the limit in force.
+const HEAD_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// The refusal of a request head for which there is no memory. The request did not run.
+const NO_MEMORY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// The exchange of a connection as its stream and its handler see it.
 pub struct ConnectionActivity {
     /// The connection in the table.
@@ -59,14 +75,15 @@
         self.connection.begin_body()
     }
 
-    /// Records that the response is complete if it has been handed over.
-    fn end_flushed_response(&self) {
-        if self
+    /// Records that the response is complete if it has been handed over. Returns `true` if it was.
+    fn end_flushed_response(&self) -> bool {
+        let was_flushing = self
             .is_flushing
-            .swap(false, sync::atomic::Ordering::Relaxed)
-        {
+            .swap(false, sync::atomic::Ordering::Relaxed);
+        if was_flushing {
             self.connection.end_response();
         }
+        was_flushing
     }
 
     /// Records that the body has been received completely.
@@ -153,54 +170,156 @@
     remaining: usize,
 }
 
+impl Discard {
+    fn new() -> Discard {
+        Discard {
+            timer: Box::pin(time::sleep(DISCARD_TIMEOUT)),
+            remaining: MAX_DISCARDED_BYTES,
+        }
+    }
+}
+
 /// A response that its caller does not read.
 struct BlockedResponse {
     timer: pin::Pin<Box<time::Sleep>>,
     _memory: Option<memory::Reservation>,
 }
 
+/// A request head that is being received.
+struct Head {
+    limits: RequestLimits,
+    received: usize,
+    timer: pin::Pin<Box<time::Sleep>>,
+    /// The memory of the part that exceeds the read buffer.
+    memory: Option<memory::Reservation>,
+}
+
+/// The time in which a connection waits for a request.
+struct Idle {
+    since: time::Instant,
+    timer: pin::Pin<Box<time::Sleep>>,
+}
+
 /// The byte stream of a caller's connection.
 pub struct CallerStream {
     stream: net::TcpStream,
     activity: sync::Arc<ConnectionActivity>,
-    head_timeout: Millis,
-    /// Runs while a request head is incomplete.
-    head_timer: Option<pin::Pin<Box<time::Sleep>>>,
-    /// How long a caller may leave its response unread.
-    write_timeout: Millis,
+    head: Option<Head>,
+    idle: Option<Idle>,
     blocked: Option<BlockedResponse>,
     discard: Option<Discard>,
 }
 
 impl CallerStream {
     /// Wraps a stream. A request head must be complete within the head timeout after its first byte,
-    /// and a caller must read some of its response within the idle timeout.
-    pub fn new(
-        stream: net::TcpStream,
-        activity: sync::Arc<ConnectionActivity>,
-        limits: RequestLimits,
-    ) -> CallerStream {
-        CallerStream {
+    /// and a caller must send a request, or read some of its response, within the idle timeout.
+    pub fn new(stream: net::TcpStream, activity: sync::Arc<ConnectionActivity>) -> CallerStream {
+        let mut stream = CallerStream {
             stream,
             activity,
-            head_timeout: limits.head_timeout,
-            head_timer: None,
-            write_timeout: limits.idle_timeout,
+            head: None,
+            idle: None,
             blocked: None,
             discard: None,
+        };
+        stream.begin_idle();
+        stream
+    }
+
+    /// Returns the head that is being received, unless it is complete.
+    fn incomplete_head(&mut self) -> Option<&mut Head> {
+        if self.head.is_some() && self.activity.connection.phase() != Some(ConnectionPhase::Head) {
+            self.head = None;
         }
+        self.head.as_mut()
     }
 
-    /// Returns `true` if the request head that is being received has taken too long.
-    fn poll_head_timer(&mut self, cx: &mut task::Context<'_>) -> bool {
-        let Some(timer) = &mut self.head_timer else {
-            return false;
+    /// Returns the number of bytes that may be read next.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a head that is too large, and its reason.
+    fn check_read(&mut self) -> Result<usize, (&'static [u8], &'static str)> {
+        let buffer_len = self.activity.connection.buffer_len();
+        let Some(head) = self.incomplete_head() else {
+            return Ok(MAX_READ_BYTES);
         };
-        if self.activity.connection.phase() != Some(ConnectionPhase::Head) {
-            self.head_timer = None;
+        let max_head = head.limits.max_head.0 as usize;
+        if head.received >= max_head.max(MAX_READ_BYTES) {
+            return Err((HEAD_TOO_LARGE, "head_too_large"));
+        }
+        if head.received < buffer_len || head.memory.is_some() {
+            return Ok(MAX_READ_BYTES.min(max_head.max(MAX_READ_BYTES) - head.received));
+        }
+        let memory = self
+            .activity
+            .connection
+            .reserve_buffer(max_head - buffer_len);
+        let memory = memory.map_err(|MemoryExhausted| (NO_MEMORY, "no_memory"))?;
+        if let Some(head) = &mut self.head {
+            head.memory = Some(memory);
+        }
+        self.check_read()
+    }
+
+    /// Records the receipt of bytes, with which a head may begin.
+    fn record_received(&mut self, cx: &mut task::Context<'_>, len: usize) {
+        self.idle = None;
+        if self.activity.connection.receive() {
+            let limits = self.activity.connection.limits();
+            let mut timer = Box::pin(time::sleep(limits.head_timeout.duration()));
+            // The head is likely complete; otherwise the timer wakes the task.
+            let _ = timer.as_mut().poll(cx);
+            self.head = Some(Head {
+                limits,
+                received: len,
+                timer,
+                memory: None,
+            });
+        } else if let Some(head) = &mut self.head {
+            head.received += len;
+        }
+    }
+
+    /// Begins to wait for a request.
+    fn begin_idle(&mut self) {
+        let limits = self.activity.connection.limits();
+        let timeout = (limits.idle_timeout + IDLE_MARGIN).duration();
+        self.idle = Some(Idle {
+            since: time::Instant::now(),
+            timer: Box::pin(time::sleep(timeout)),
+        });
+    }
+
+    /// Returns `true` if the connection has been idle for longer than the limit in force.
+    fn poll_idle(&mut self, cx: &mut task::Context<'_>) -> bool {
+        let connection = &self.activity.connection;
+        let timeout = || (connection.limits().idle_timeout + IDLE_MARGIN).duration();
+        let Some(idle) = &mut self.idle else {
             return false;
+        };
+        while idle.timer.as_mut().poll(cx).is_ready() {
+            if connection.phase() != Some(ConnectionPhase::Idle) {
+                self.idle = None;
+                return false;
+            }
+            let end = idle.since + timeout();
+            if end <= time::Instant::now() {
+                return true;
+            }
+            idle.timer.as_mut().reset(end);
         }
-        timer.as_mut().poll(cx).is_ready()
+        false
+    }
+
+    /// Refuses what the caller is sending and begins to close the connection.
+    fn refuse(&mut self, cx: &mut task::Context<'_>, refusal: &[u8], reason: &str) {
+        self.activity.connection.record_closing(reason);
+        // The caller may have closed the connection.
+        let _ = self.stream.try_write(refusal);
+        let stream = pin::Pin::new(&mut self.stream);
+        let _ = async_io::AsyncWrite::poll_shutdown(stream, cx);
+        self.discard = Some(Discard::new());
     }
 
     /// Checks the result of a write: a caller that does not read is closed after a time, which is
@@ -221,7 +340,7 @@
             None => {
                 let memory = self.activity.connection.block_response();
                 let timeout = match memory {
-                    Ok(_) => self.write_timeout,
+                    Ok(_) => self.activity.connection.limits().idle_timeout,
                     Err(MemoryExhausted) => STALLED_AFTER,
                 };
                 let mut timer = Box::pin(time::sleep(timeout.duration()));
@@ -234,7 +353,7 @@
             }
         };
         if is_too_slow {
-            self.activity.connection.record_too_slow("response_unread");
+            self.activity.connection.record_closing("response_unread");
             return task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         task::Poll::Pending
@@ -272,23 +391,41 @@
         cx: &mut task::Context<'_>,
         buf: &mut async_io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
-        // The timer is checked only when there is nothing to read: the rest of the head may have
+        if self.discard.is_some() {
+            std::task::ready!(self.poll_discard(cx));
+            return task::Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        let max_len = match self.check_read() {
+            Ok(max_len) => max_len.min(buf.remaining()),
+            Err((refusal, reason)) => {
+                self.refuse(cx, refusal, reason);
+                return self.poll_read(cx, buf);
+            }
+        };
+        let mut part = async_io::ReadBuf::new(buf.initialize_unfilled_to(max_len));
+        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, &mut part);
+        let len = part.filled().len();
+        buf.advance(len);
+        if len > 0 {
+            self.record_received(cx, len);
+        }
+        if polled.is_ready() {
+            return polled;
+        }
+        // The timers are checked only when there is nothing to read: the rest of the head may have
         // waited in the system while the task did not run.
-        if polled.is_pending() && self.poll_head_timer(cx) {
-            self.activity.connection.record_too_slow("head_too_slow");
+        if let Some(head) = self.incomplete_head()
+            && head.timer.as_mut().poll(cx).is_ready()
+        {
+            self.activity.connection.record_closing("head_too_slow");
             // The caller may have closed the connection.
             let _ = self.stream.try_write(HEAD_TOO_SLOW);
             return task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        if buf.filled().len() > before && self.activity.connection.receive() {
-            let mut timer = Box::pin(time::sleep(self.head_timeout.duration()));
-            // The head is likely complete; otherwise the timer wakes the task.
-            let _ = timer.as_mut().poll(cx);
-            self.head_timer = Some(timer);
+        if self.poll_idle(cx) {
+            return task::Poll::Ready(Ok(()));
         }
-        polled
+        task::Poll::Pending
     }
 }
 
@@ -320,7 +457,11 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        self.activity.end_flushed_response();
+        if self.activity.end_flushed_response() {
+            self.begin_idle();
+            // Registers the timer, as the next read may come only once there is something to read.
+            let _ = self.poll_idle(cx);
+        }
         pin::Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -334,10 +475,7 @@
             if !may_have_unread_bytes {
                 return task::Poll::Ready(Ok(()));
             }
-            self.discard = Some(Discard {
-                timer: Box::pin(time::sleep(DISCARD_TIMEOUT)),
-                remaining: MAX_DISCARDED_BYTES,
-            });
+            self.discard = Some(Discard::new());
         }
         self.poll_discard(cx).map(Ok)
     }
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -23,20 +23,13 @@
     },
 };
 
-/// Request limits that apply until the first routing table arrives.
-const DEFAULT_LIMITS: RequestLimits = RequestLimits {
-    max_head: limpetkeel::Bytes(16 * 1024),
-    max_body: limpetkeel::Bytes(4 * 1024 * 1024),
-    head_timeout: Millis(3_000),
-    idle_timeout: Millis(15_000),
-};
-
-/// Added to the time that a connection may be idle, for a head that has arrived but was not read.
-const TIMEOUT_MARGIN: Millis = Millis(1_000);
-
 /// Minimum read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// The largest read buffer, in bytes. The stream of the connection ends a head that exceeds the limit
+/// in force, and bounds each read, by which hyper grows the buffer of a body.
+const MAX_BUFFER_BYTES: usize = 16 * 1024 * 1024;
+
 /// Length of the shortest header line: a name of one character, the colon and the line end.
 const MIN_HEADER_LINE_BYTES: usize = 4;
 
@@ -81,9 +74,7 @@
 
 /// Serves a connection in its own task, or closes it if there is no room.
 async fn admit_connection(shared: &sync::Arc<shared::Shared>, stream: tokio::net::TcpStream) {
-    let limits = shared.tables.lock().ingress.limits();
-    let limits = limits.unwrap_or(DEFAULT_LIMITS);
-    let buffer_len = buffer_len(limits);
+    let buffer_len = buffer_len(caller_connection::limits(shared));
     match caller_connection::CallerConnection::admit(shared, buffer_len).await {
         Ok(connection) => {
             let activity = caller_stream::ConnectionActivity::new(connection);
@@ -91,7 +82,7 @@
                 shared.clone(),
                 stream,
                 sync::Arc::new(activity),
-                limits,
+                buffer_len,
             ));
         }
         Err(caller_connection::Refused) => {
@@ -107,30 +98,22 @@
     (limits.max_head.0 as usize).max(MIN_BUFFER_BYTES)
 }
 
-/// Returns the time after which a connection is closed on which no request head is complete since the
-/// last response. It covers a head that begins at the end of the idle time.
-fn head_read_timeout(limits: RequestLimits) -> Millis {
-    limits.idle_timeout + limits.head_timeout + TIMEOUT_MARGIN
-}
-
 /// Serves one caller connection, and closes it gracefully once the instance stops listening.
 async fn serve_connection(
     shared: sync::Arc<shared::Shared>,
     stream: tokio::net::TcpStream,
     activity: sync::Arc<caller_stream::ConnectionActivity>,
-    limits: RequestLimits,
+    buffer_len: usize,
 ) {
     let exchange = sync::Arc::new(exchange::ConnectionExchange::default());
     let handler = service::service_fn({
         let (shared, exchange, activity) = (shared.clone(), exchange.clone(), activity.clone());
         move |req| handle(shared.clone(), exchange.clone(), activity.clone(), req)
     });
-    let stream = caller_stream::CallerStream::new(stream, activity.clone(), limits);
+    let stream = caller_stream::CallerStream::new(stream, activity.clone());
     let serving = http1::Builder::new()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(head_read_timeout(limits).duration())
-        .max_buf_size(buffer_len(limits))
-        .max_headers(buffer_len(limits) / MIN_HEADER_LINE_BYTES)
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .max_headers(buffer_len / MIN_HEADER_LINE_BYTES)
         .serve_connection(rt::TokioIo::new(stream), handler);
     tokio::pin!(serving);
     let result = tokio::select! {
@@ -241,7 +224,8 @@
     let (admitted, limits, version) = {
         let ingress = &shared.tables.lock().ingress;
         let admitted = ingress.admit(&head.host, path, head.key.as_deref());
-        let limits = ingress.limits().unwrap_or(DEFAULT_LIMITS);
+        let limits = ingress.limits();
+        let limits = limits.unwrap_or(caller_connection::DEFAULT_LIMITS);
         (admitted, limits, ingress.version())
     };
     let admission = admitted.map_err(|denial| {
--- a/standins/src/deployment/table.rs
+++ b/standins/src/deployment/table.rs
@@ -22,6 +22,8 @@
     /// The KV memory of each upstream, in tokens, if the upstreams are engines. They prefill one
     /// token per millisecond.
     pub engine_memory_tokens: Option<u64>,
+    /// The largest request head, in bytes.
+    pub max_head_bytes: u64,
     /// The largest request body, in bytes.
     pub max_body_bytes: u64,
     /// The idle timeout of callers' connections, in milliseconds.
@@ -36,6 +38,7 @@
             timeout_ms: 3_000,
             extra_routes: Vec::new(),
             engine_memory_tokens: None,
+            max_head_bytes: 16_384,
             max_body_bytes: 100_000,
             idle_timeout_ms: 15_000,
         }
@@ -80,7 +83,7 @@
                 "name": "desk", "health_path": "/health", "max_conns": 100, "engine": engine,
             }],
             "limits": {
-                "max_header_bytes": 16384, "max_body_bytes": self.max_body_bytes,
+                "max_header_bytes": self.max_head_bytes, "max_body_bytes": self.max_body_bytes,
                 "header_timeout_ms": 3000, "idle_timeout_ms": self.idle_timeout_ms,
             },
             "tenants": [{ "name": "counter", "api_keys": self.api_keys, "priority": 1 }],
