Space the trials of an upstream by how long it has failed

Cause: since a queued request costs less, a failing upstream is avoided after each failure and tried again seconds later, so that it takes seven seconds until three failures in a row eject it. The time until its trial then began at one second, as if it had just begun to fail.

--- a/limpetkeel/src/planner/ejection/record.rs
+++ b/limpetkeel/src/planner/ejection/record.rs
@@ -107,7 +107,9 @@
         let interval = if is_relapse {
             self.longer_interval()
         } else {
-            MIN_TRIAL_INTERVAL
+            // An upstream that has failed for some time is not expected to recover sooner.
+            let failing_for = self.tally.failing_for(now);
+            failing_for.clamp(MIN_TRIAL_INTERVAL, MAX_TRIAL_INTERVAL)
         };
         self.into_ejected(now, interval)
     }
--- a/limpetkeel/src/planner/ejection/tally.rs
+++ b/limpetkeel/src/planner/ejection/tally.rs
@@ -53,6 +53,7 @@
     updated: unit::Timestamp,
     /// The failures since the last success.
     failures_in_row: u32,
+    failing_since: unit::Timestamp,
     /// The declined requests since the last success.
     declines_in_row: u32,
     declining_since: unit::Timestamp,
@@ -92,6 +93,9 @@
             ejection::Evidence::Failure(ejection::Reason::Slow) => self.slow += 1.0,
             ejection::Evidence::Failure(_) => {
                 self.failures += 1.0;
+                if self.failures_in_row == 0 {
+                    self.failing_since = now;
+                }
                 self.failures_in_row += 1;
             }
         }
@@ -102,6 +106,14 @@
         self.failures_in_row
     }
 
+    /// Returns the time since the first failure after the last success, or zero if there is none.
+    pub(super) fn failing_for(&self, now: unit::Timestamp) -> unit::Millis {
+        if self.failures_in_row == 0 {
+            return unit::Millis::ZERO;
+        }
+        now.since(self.failing_since)
+    }
+
     /// Forgets the failures since the last success.
     pub(super) fn reset_row(&mut self) {
         self.failures_in_row = 0;
