Count a pause of an upstream once, however many streams report it

Cause: each stream of the upstream reports the pause, and three reports in a row ejected it as if it had failed three times. Change: reports of silence within 250 ms of a counted one are of the same pause. An upstream that answers nothing is still ejected, with the third pause or request. Result: a_pause_counts_once_however_many_streams_report_it failed before and passes, and so do the 34 others of planner_ejection, among them that upstreams that hang get few requests.

--- a/limpetkeel/src/planner/ejection/tally.rs
+++ b/limpetkeel/src/planner/ejection/tally.rs
@@ -17,6 +17,10 @@
 /// The shortest time in which so many requests were declined. A burst is over sooner.
 const MIN_DECLINE_PERIOD: unit::Millis = unit::Millis(1_000);
 
+/// Reports of silence within this time of a counted one are of the same pause, which every stream of
+/// the upstream reports.
+const PAUSE_SEPARATION: unit::Millis = unit::Millis(250);
+
 /// The probability that an upstream that fails as often as its pool is ejected for one more failure.
 /// With 1,200 requests a second, it happens once in ten minutes to a pool of which half fail.
 const FALSE_EJECTION: f64 = 1e-6;
@@ -54,6 +58,8 @@
     /// The failures since the last success.
     failures_in_row: u32,
     failing_since: unit::Timestamp,
+    /// The time of the last report of silence that was counted, if there was one.
+    last_silence: Option<unit::Timestamp>,
     /// The declined requests since the last success.
     declines_in_row: u32,
     declining_since: unit::Timestamp,
@@ -74,8 +80,15 @@
         (-elapsed / HALF_LIFE_MS * std::f64::consts::LN_2).exp()
     }
 
-    /// Counts a result.
+    /// Counts a result, and a pause that several streams report once.
     pub(super) fn record(&mut self, now: unit::Timestamp, evidence: ejection::Evidence) {
+        if let ejection::Evidence::Failure(ejection::Reason::Silent) = evidence {
+            let last = self.last_silence;
+            if last.is_some_and(|last| now.since(last) < PAUSE_SEPARATION) {
+                return;
+            }
+            self.last_silence = Some(now);
+        }
         self.decay(now);
         self.total += 1.0;
         match evidence {
--- a/limpetkeel/tests/planner_ejection.rs
+++ b/limpetkeel/tests/planner_ejection.rs
@@ -236,6 +236,30 @@
     assert!(planned * 100 >= 600 * 85, "the others serve: {planned}");
 }
 
+/// Guards against ejecting a sound upstream for one pause that each of its streams reports.
+#[test]
+fn a_pause_counts_once_however_many_streams_report_it() {
+    let mut planner = pool::planner(9);
+    let plans: Vec<_> = (0..72)
+        .map(|id| planner.plan(Timestamp(0), &pool::plan_request(id, 1_000)))
+        .map(|plan| plan.expect("plan"))
+        .collect();
+    let paused = plans[0].lead.upstream.clone();
+    let streams = plans.iter().filter(|plan| plan.lead.upstream == paused);
+    let streams: Vec<_> = streams.take(8).cloned().collect();
+    assert_eq!(streams.len(), 8);
+    let mut pause = |at: u64| {
+        for (position, plan) in (0..).zip(&streams) {
+            let now = Timestamp(at + position * 25);
+            planner.record_failure(now, &plan_result(plan, AttemptResult::Silent));
+        }
+        planner.ejected_upstreams()
+    };
+    assert_eq!(pause(1_300), 0);
+    assert_eq!(pause(3_000), 0);
+    assert_eq!(pause(5_000), 1, "three pauses without a success");
+}
+
 /// Guards against upstreams that stay ejected after they have recovered.
 #[test_case(Scenario::new(69, 7, Fault::AtOnce(AttemptResult::Failed)); "engines")]
 #[test_case(Scenario::plain(3, 1, Fault::AtOnce(AttemptResult::Failed)); "plain service")]
