Count connections that wait to be accepted in the memory account

Callers saw nothing; a process could exceed its memory limit. Cause: up to 1,024 connections wait to be accepted, each with a receive buffer of 64 KB that the system fills meanwhile, and none of it was in the memory account. Change: waiting connections have a share of the account, a tenth, and it bounds their number. It comes from the guaranteed parts of response bodies and of messages, whose maxima are as before.

--- a/limpetkeel/src/memory_account.rs
+++ b/limpetkeel/src/memory_account.rs
@@ -44,16 +44,19 @@
     Messages,
     /// Connections to upstreams that are open for peers.
     Tunnels,
+    /// Connections of callers that wait to be accepted, with what the system receives on them.
+    WaitingConnections,
 }
 
 /// All shares and their percentages: the guaranteed part and the maximum.
-const SHARES: [(MemoryShare, u8, u8); 6] = [
+const SHARES: [(MemoryShare, u8, u8); 7] = [
     (MemoryShare::RequestHeads, 30, 30),
     (MemoryShare::RequestBodies, 15, 35),
-    (MemoryShare::ResponseBodies, 15, 35),
+    (MemoryShare::ResponseBodies, 10, 35),
     (MemoryShare::QueuedEvents, 10, 20),
-    (MemoryShare::Messages, 10, 20),
+    (MemoryShare::Messages, 5, 20),
     (MemoryShare::Tunnels, 0, 20),
+    (MemoryShare::WaitingConnections, 10, 10),
 ];
 
 impl MemoryShare {
@@ -71,6 +74,7 @@
             MemoryShare::QueuedEvents => "queued_events",
             MemoryShare::Messages => "messages",
             MemoryShare::Tunnels => "tunnels",
+            MemoryShare::WaitingConnections => "waiting_connections",
         }
     }
 }
--- a/limpetkeeld/src/listener.rs
+++ b/limpetkeeld/src/listener.rs
@@ -3,7 +3,7 @@
 use std::{io, net, time};
 
 /// The maximum number of connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
+pub const MAX_BACKLOG: u32 = 1_024;
 
 /// The delay before accepting again after a failure, which is typically a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
@@ -30,11 +30,12 @@
 ///
 /// Returns an error if the address cannot be bound.
 pub fn listen(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
-    listen_on(new_socket(address)?, address)
+    listen_on(new_socket(address)?, address, MAX_BACKLOG)
 }
 
-/// Listens like [`listen`] for connections whose buffers in the system have a fixed size, in bytes.
-/// Otherwise the system would let them grow to several megabytes for each connection.
+/// Listens like [`listen`] for connections whose buffers in the system have a fixed size, in bytes,
+/// and of which at most `backlog` wait to be accepted. Otherwise the system would let the buffers grow
+/// to several megabytes for each connection.
 ///
 /// # Errors
 ///
@@ -43,11 +44,12 @@
     address: net::SocketAddr,
     receive_len: u32,
     send_len: u32,
+    backlog: u32,
 ) -> io::Result<tokio::net::TcpListener> {
     let socket = new_socket(address)?;
     socket.set_recv_buffer_size(receive_len)?;
     socket.set_send_buffer_size(send_len)?;
-    listen_on(socket, address)
+    listen_on(socket, address, backlog)
 }
 
 fn new_socket(address: net::SocketAddr) -> io::Result<tokio::net::TcpSocket> {
@@ -60,9 +62,10 @@
 fn listen_on(
     socket: tokio::net::TcpSocket,
     address: net::SocketAddr,
+    backlog: u32,
 ) -> io::Result<tokio::net::TcpListener> {
     socket.set_reuseaddr(true)?;
     socket.set_nodelay(true)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -33,6 +33,12 @@
 /// Length of the shortest header line: a name of one character, the colon and the line end.
 const MIN_HEADER_LINE_BYTES: usize = 4;
 
+/// The memory of a connection that waits to be accepted: its receive buffer, which the system doubles.
+const WAITING_CONNECTION_BYTES: usize = 2 * caller_connection::RECEIVE_BUFFER_BYTES;
+
+/// The number of connections that may wait to be accepted whatever the memory limit is.
+const MIN_BACKLOG: u64 = 16;
+
 /// Header lines whose memory is part of the state of a connection.
 const MAX_UNRESERVED_LINES: usize = 100;
 
@@ -57,10 +63,17 @@
 ///
 /// Returns an error if the address cannot be bound.
 pub async fn listen(shared: sync::Arc<shared::Shared>) -> io::Result<()> {
+    let backlog = backlog(&shared.memory);
+    // Reserved as long as the instance listens. Its share is for nothing else.
+    let waiting = backlog as usize * WAITING_CONNECTION_BYTES;
+    let _waiting = shared
+        .memory
+        .try_reserve(MemoryShare::WaitingConnections, waiting);
     let listener = listener::listen_with_buffers(
         shared.settings.http_listen,
         caller_connection::RECEIVE_BUFFER_BYTES as u32,
         caller_connection::SEND_BUFFER_BYTES as u32,
+        backlog,
     )?;
     loop {
         tokio::select! {
@@ -72,6 +85,13 @@
     }
 }
 
+/// Returns the number of connections that may wait to be accepted within the memory of their share.
+fn backlog(memory: &memory::Memory) -> u32 {
+    let share = memory.maximum(MemoryShare::WaitingConnections).0;
+    let backlog = share / WAITING_CONNECTION_BYTES as u64;
+    backlog.clamp(MIN_BACKLOG, u64::from(listener::MAX_BACKLOG)) as u32
+}
+
 /// Serves a connection in its own task, or closes it if there is no room.
 async fn admit_connection(shared: &sync::Arc<shared::Shared>, stream: tokio::net::TcpStream) {
     let buffer_len = buffer_len(caller_connection::limits(shared));
--- a/limpetkeeld/src/relay/memory.rs
+++ b/limpetkeeld/src/relay/memory.rs
@@ -35,6 +35,11 @@
         self.0.lock().account.reserved(share)
     }
 
+    /// Returns the largest number of bytes that a share may reserve.
+    pub fn maximum(&self, share: MemoryShare) -> Bytes {
+        self.0.lock().account.maximum(share)
+    }
+
     /// Reserves bytes of a share.
     ///
     /// # Errors
