--- a/limpetkeel/src/crash_screening.rs
+++ b/limpetkeel/src/crash_screening.rs
@@ -2,8 +2,9 @@
 //!
 //! A crash is evidence against every cause of its request, since the cause cannot be seen from
 //! outside. A response that ends well clears all causes of its request; one in progress does not,
-//! since its upstream may still crash. What remains are the causes that the crashes have in common. Their requests are admitted one at a time, as trials; a cause whose
-//! trial crashes is quarantined, and is tried again after a back-off.
+//! since its upstream may still crash. What remains are the causes that the crashes have in common.
+//! Their requests are admitted one at a time, as trials; a cause whose trial crashes is quarantined,
+//! and is tried again after a back-off.
 
 mod cause_table;
 mod screened_cause;
@@ -122,18 +123,13 @@
             let Some(screened) = self.causes.get(*cause) else {
                 continue;
             };
-            let admission = match screened.admission(now) {
-                screened_cause::Admission::Held(_) | screened_cause::Admission::Rejected
-                    if screened.phase() != screened_cause::Phase::OnTrial
-                        && lacking
-                            .get_or_insert_with(|| self.evidence_lacking(causes))
-                            .iter()
-                            .any(|other| other.explains(screened)) =>
-                {
-                    screened_cause::Admission::Trial
+            let mut admission = screened.admission(now);
+            if admission.is_refusal() && screened.phase() != screened_cause::Phase::OnTrial {
+                let lacking = lacking.get_or_insert_with(|| self.evidence_lacking(causes));
+                if lacking.iter().any(|other| other.explains(screened)) {
+                    admission = screened_cause::Admission::Trial;
                 }
-                admission => admission,
-            };
+            }
             verdict = match (verdict, admission) {
                 (Verdict::Rejected, _) | (_, screened_cause::Admission::Free) => verdict,
                 (_, screened_cause::Admission::Rejected) => Verdict::Rejected,
--- a/limpetkeel/src/crash_screening/screened_cause.rs
+++ b/limpetkeel/src/crash_screening/screened_cause.rs
@@ -192,6 +192,13 @@
     Rejected,
 }
 
+impl Admission {
+    /// Returns `true` if the request is not admitted now.
+    pub(super) fn is_refusal(self) -> bool {
+        matches!(self, Admission::Held(_) | Admission::Rejected)
+    }
+}
+
 /// A cause in any of its states.
 #[derive(Debug)]
 pub(super) enum ScreenedCause {
--- a/limpetkeeld/src/relay/caller_stream.rs
+++ b/limpetkeeld/src/relay/caller_stream.rs
@@ -187,7 +187,6 @@
 
 /// A request head that is being received.
 struct Head {
-    limits: RequestLimits,
     received: usize,
     timer: pin::Pin<Box<time::Sleep>>,
     /// The memory of the part that exceeds the read buffer.
@@ -204,6 +203,8 @@
 pub struct CallerStream {
     stream: net::TcpStream,
     activity: sync::Arc<ConnectionActivity>,
+    /// The limits in force when the latest head began, or when the connection was accepted.
+    limits: RequestLimits,
     head: Option<Head>,
     idle: Option<Idle>,
     blocked: Option<BlockedResponse>,
@@ -213,10 +214,15 @@
 impl CallerStream {
     /// Wraps a stream. A request head must be complete within the head timeout after its first byte,
     /// and a caller must send a request, or read some of its response, within the idle timeout.
-    pub fn new(stream: net::TcpStream, activity: sync::Arc<ConnectionActivity>) -> CallerStream {
+    pub fn new(
+        stream: net::TcpStream,
+        activity: sync::Arc<ConnectionActivity>,
+        limits: RequestLimits,
+    ) -> CallerStream {
         let mut stream = CallerStream {
             stream,
             activity,
+            limits,
             head: None,
             idle: None,
             blocked: None,
@@ -241,10 +247,10 @@
     /// Returns the refusal of a head that is too large, and its reason.
     fn check_read(&mut self) -> Result<usize, (&'static [u8], &'static str)> {
         let buffer_len = self.activity.connection.buffer_len();
+        let max_head = self.limits.max_head.0 as usize;
         let Some(head) = self.incomplete_head() else {
             return Ok(MAX_READ_BYTES);
         };
-        let max_head = head.limits.max_head.0 as usize;
         if head.received >= max_head.max(MAX_READ_BYTES) {
             return Err((HEAD_TOO_LARGE, "head_too_large"));
         }
@@ -266,12 +272,11 @@
     fn record_received(&mut self, cx: &mut task::Context<'_>, len: usize) {
         self.idle = None;
         if self.activity.connection.receive() {
-            let limits = self.activity.connection.limits();
-            let mut timer = Box::pin(time::sleep(limits.head_timeout.duration()));
+            self.limits = self.activity.connection.limits();
+            let mut timer = Box::pin(time::sleep(self.limits.head_timeout.duration()));
             // The head is likely complete; otherwise the timer wakes the task.
             let _ = timer.as_mut().poll(cx);
             self.head = Some(Head {
-                limits,
                 received: len,
                 timer,
                 memory: None,
@@ -283,8 +288,7 @@
 
     /// Begins to wait for a request.
     fn begin_idle(&mut self) {
-        let limits = self.activity.connection.limits();
-        let timeout = (limits.idle_timeout + IDLE_MARGIN).duration();
+        let timeout = (self.limits.idle_timeout + IDLE_MARGIN).duration();
         self.idle = Some(Idle {
             since: time::Instant::now(),
             timer: Box::pin(time::sleep(timeout)),
@@ -340,7 +344,7 @@
             None => {
                 let memory = self.activity.connection.block_response();
                 let timeout = match memory {
-                    Ok(_) => self.activity.connection.limits().idle_timeout,
+                    Ok(_) => self.limits.idle_timeout,
                     Err(MemoryExhausted) => STALLED_AFTER,
                 };
                 let mut timer = Box::pin(time::sleep(timeout.duration()));
--- a/limpetkeeld/src/relay/front.rs
+++ b/limpetkeeld/src/relay/front.rs
@@ -94,7 +94,8 @@
 
 /// Serves a connection in its own task, or closes it if there is no room.
 async fn admit_connection(shared: &sync::Arc<shared::Shared>, stream: tokio::net::TcpStream) {
-    let buffer_len = buffer_len(caller_connection::limits(shared));
+    let limits = caller_connection::limits(shared);
+    let buffer_len = buffer_len(limits);
     match caller_connection::CallerConnection::admit(shared, buffer_len).await {
         Ok(connection) => {
             let activity = caller_stream::ConnectionActivity::new(connection);
@@ -102,7 +103,7 @@
                 shared.clone(),
                 stream,
                 sync::Arc::new(activity),
-                buffer_len,
+                limits,
             ));
         }
         Err(caller_connection::Refused) => {
@@ -123,17 +124,17 @@
     shared: sync::Arc<shared::Shared>,
     stream: tokio::net::TcpStream,
     activity: sync::Arc<caller_stream::ConnectionActivity>,
-    buffer_len: usize,
+    limits: RequestLimits,
 ) {
     let exchange = sync::Arc::new(exchange::ConnectionExchange::default());
     let handler = service::service_fn({
         let (shared, exchange, activity) = (shared.clone(), exchange.clone(), activity.clone());
         move |req| handle(shared.clone(), exchange.clone(), activity.clone(), req)
     });
-    let stream = caller_stream::CallerStream::new(stream, activity.clone());
+    let stream = caller_stream::CallerStream::new(stream, activity.clone(), limits);
     let serving = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .max_headers(buffer_len / MIN_HEADER_LINE_BYTES)
+        .max_headers(buffer_len(limits) / MIN_HEADER_LINE_BYTES)
         .serve_connection(rt::TokioIo::new(stream), handler);
     tokio::pin!(serving);
     let result = tokio::select! {
