Look for a free port on the address that a daemon listens on

Cause: the tests looked for the port of peers on another loopback address than the one on which the daemon listens. A daemon that an ended test run had left behind held the port there, and the next deployments were not ready in 20 s.

--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -94,19 +94,17 @@
         })
 }
 
-/// Returns an address on which nothing listens. Its port belongs to the block of this process, so
-/// that no other test process uses it.
-fn free_address() -> deployment::Result<net::SocketAddr> {
+/// Returns an address with this IP on which nothing listens. Its port belongs to the block of this
+/// process, so that no other test process uses it.
+fn free_address(ip: net::IpAddr) -> deployment::Result<net::SocketAddr> {
     let block = PORT_BLOCK.get_or_init(reserve_port_block).as_ref();
     let block = block.ok_or(deployment::Error::TimedOut("a block of ports is free"))?;
     for _ in 1..PORTS_PER_BLOCK {
         let offset = NEXT_PORT_OFFSET.fetch_add(1, sync::atomic::Ordering::Relaxed);
-        let address = (
-            net::Ipv4Addr::LOCALHOST,
-            block.first + 1 + offset % (PORTS_PER_BLOCK - 1),
-        );
+        let port = block.first + 1 + offset % (PORTS_PER_BLOCK - 1);
+        let address = net::SocketAddr::new(ip, port);
         if net::TcpListener::bind(address).is_ok() {
-            return Ok(address.into());
+            return Ok(address);
         }
     }
     Err(deployment::Error::TimedOut("a port is free"))
@@ -215,9 +213,10 @@
     }
 
     fn start_daemon(&self, index: usize) -> deployment::Result<Daemon> {
-        let (http_address, ready_address) = (free_address()?, free_address()?);
-        let (status_address, peer_address) = (free_address()?, free_address()?);
-        let peer_address = net::SocketAddr::new(source_address(index), peer_address.port());
+        let local = net::Ipv4Addr::LOCALHOST.into();
+        let (http_address, ready_address) = (free_address(local)?, free_address(local)?);
+        let status_address = free_address(local)?;
+        let peer_address = free_address(source_address(index))?;
         let settings_path = self.directory.join(format!("node{index}.toml"));
         let hedging = self
             .options
